--- /dev/null
+++ b/sagecove/__main__.py
@@ -0,0 +1,7 @@
+"""`python -m sagecove`."""
+
+import sys
+
+from sagecove.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/sagecove/config.py
@@ -0,0 +1,177 @@
+"""The platform's settings file, checked; and the figures derived from it as ratios.
+
+Unknown fields are ignored. What is missing or makes no sense is reported as one line naming the
+field (`SettingsError`).
+"""
+
+from typing import Annotated
+
+import msgspec
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Share = Annotated[float, msgspec.Meta(gt=0, le=64)]
+Amount = Annotated[float, msgspec.Meta(ge=0)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=100, pattern=r"^[^\s/]+$")]
+Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+
+
+class SettingsError(Exception):
+    """The settings are missing a field or make no sense."""
+
+
+class Member(msgspec.Struct, rename={"zone": "area", "addr": "endpoint"}):
+    """Another controller."""
+
+    node: Name
+    zone: Name
+    addr: Address
+
+
+class Services(msgspec.Struct):
+    """Where the cloud and the state service answer."""
+
+    cloud: Address
+    state: Address
+
+
+class Team(msgspec.Struct):
+    """A team's guarantee and limit."""
+
+    name: Annotated[str, msgspec.Meta(min_length=1, max_length=150, pattern=r"^[^\s/]+$")]
+    cpus: Amount
+    cpus_max: Amount
+    gpus: Amount = 0.0
+    gpus_max: Amount = 0.0
+
+
+class Objective(msgspec.Struct, rename={"klass": "class"}):
+    """An aim, as the users state it."""
+
+    kind: str
+    klass: str = ""
+    within_s: float | None = None
+    share: float | None = None
+    times: float | None = None
+
+
+class Workers(msgspec.Struct):
+    """The workers' pace."""
+
+    report_s: Positive
+    lease_s: Positive
+    gang_wait_s: Positive
+    gang_peer_s: Positive
+    cancel_s: Positive
+
+
+class State(msgspec.Struct):
+    """The state service's limits."""
+
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Annotated[int, msgspec.Meta(ge=4)]
+
+
+class Cloud(msgspec.Struct):
+    """The cloud's limits."""
+
+    rps: Positive
+    list_lag_s: Amount
+
+
+class Resources(msgspec.Struct, rename={"cpu_share": "core_share", "memory_mb": "ram_mb"}):
+    """What this process may use."""
+
+    cpu_share: Share
+    memory_mb: Positive
+    fd_limit: Annotated[int, msgspec.Meta(ge=32)]
+
+
+class Params(msgspec.Struct):
+    """The cluster as a whole."""
+
+    size: Annotated[int, msgspec.Meta(ge=1)]
+    zones: Annotated[list[Name], msgspec.Meta(min_length=1)]
+    teams: list[Team]
+    workers: Workers
+    state: State
+    cloud: Cloud
+    resources: Resources
+    objectives: list[Objective] = []
+    time_bound_ms: Amount = 5.0
+
+
+class Settings(
+    msgspec.Struct,
+    rename={
+        "zone": "area",
+        "listen": "serve_on",
+        "peers": "members",
+        "services": "external",
+        "params": "cluster",
+    },
+):
+    """The file the platform hands over."""
+
+    node: Name
+    zone: Name
+    listen: Address
+    peer_listen: Address
+    peers: list[Member]
+    services: Services
+    params: Params
+
+    @property
+    def nodes(self) -> list[str]:
+        """All controllers, this one first."""
+        return [self.node, *(peer.node for peer in self.peers)]
+
+    @property
+    def drift(self) -> float:
+        """Two steady clocks may differ by this share (twice the bound of one, from PROTOCOL)."""
+        return 0.001
+
+    @property
+    def lease_s(self) -> float:
+        """Length of a controller's lease in the state service.
+
+        Long, so that an outage is outlived; but a holder that is cut off must be replaced before
+        its workers' leases run out, and a cancellation it cannot see must still be honoured:
+        lease + worker lease + a worker's save and a margin stay below `cancel_s`.
+        """
+        workers = self.params.workers
+        return min(0.85 * workers.lease_s, 0.72 * (workers.cancel_s - workers.lease_s))
+
+
+def load(path: str) -> Settings:
+    """Read and check a settings file."""
+    try:
+        with open(path, "rb") as file:
+            raw = file.read()
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from None
+    try:
+        settings = msgspec.json.decode(raw, type=Settings)
+    except msgspec.MsgspecError as error:
+        raise SettingsError(f"{path}: {error}") from None
+    names = settings.nodes
+    if len(set(names)) != len(names):
+        raise SettingsError(f"{path}: `$.members` names a controller twice")
+    workers = settings.params.workers
+    if workers.cancel_s <= workers.lease_s:
+        raise SettingsError(f"{path}: `$.cluster.workers.cancel_s` must exceed `lease_s`")
+    if workers.report_s >= workers.lease_s:
+        raise SettingsError(f"{path}: `$.cluster.workers.report_s` must be below `lease_s`")
+    for team in settings.params.teams:
+        if team.cpus > team.cpus_max or team.gpus > team.gpus_max:
+            raise SettingsError(
+                f"{path}: `$.cluster.teams`: {team.name} is guaranteed more than its limit"
+            )
+    return settings
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Host and port of an address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/sagecove/coordination/claims.py
@@ -0,0 +1,443 @@
+"""Competition for claims, placing claimed tasks, stopping others for them, durable results.
+
+Everything here is derived afresh from the mirror and the machines on each pass, so a lost race or
+a lost answer needs no special care: the next pass starts from what is then known.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from sagecove.coordination.model import JobRun, Machine, Placement, Shard
+from sagecove.coordination.placement import (
+    Room,
+    machine_allowed,
+    plan,
+    room_of,
+    slots,
+    zone_counts,
+)
+from sagecove.protocol import state as wire
+from sagecove.protocol.users import DONE
+from sagecove.storage import taskset
+from sagecove.storage.records import HOLDER, JOB, OVER, QUOTA, OverRecord
+from sagecove.storage.store import Outcome, Result
+
+if TYPE_CHECKING:
+    from sagecove.coordination.owner import Owner
+
+log = logging.getLogger("sagecove.claims")
+
+# The paper's batchSize bounds what one poll claims; here: claims under way at one time.
+BATCH = 4
+
+
+def precedence(job: JobRun) -> tuple[bool, bool, int, float, float]:
+    """Order of claims: production, then guarantees, then priority, then deadline or age."""
+    due = job.at + job.spec.deadline_s if job.spec.deadline_s is not None else float("inf")
+    return job.priority != 3, not job.within, -job.priority, due, job.at
+
+
+def may_stop(job: JobRun, victim: JobRun) -> bool:
+    """PROTOCOL's preemption rules, and none where it could go back and forth."""
+    if victim.priority < job.priority:
+        return True
+    return (
+        job.within
+        and not victim.within
+        and victim.spec.team != job.spec.team
+        and victim.priority < 3
+    )
+
+
+class Claims:
+    """Claims and placement for the shards held here."""
+
+    def __init__(self, owner: Owner) -> None:
+        self.owner = owner
+        # DESIGN's pollInterval is 1.5 s with a lease of 20 s: kept as a ratio to the report pace.
+        self.poll_s = min(1.5, owner.settings.params.workers.report_s / 2)
+        self.open_claims = 0
+        self.retries: list[tuple[JobRun, Shard, dict[str, int], int]] = []
+
+    def run(self, now: float) -> None:
+        """One pass."""
+        owner = self.owner
+        shards = [owner.held[s] for s in owner.acting_shards(now)]
+        if not shards:
+            return
+        retries, self.retries = self.retries, []
+        for job, shard, claims, bits in retries:
+            if owner.held.get(shard.name) is shard and owner.jobs.get(job.id) is job:
+                self._write_release(job, shard, claims, bits)
+        self._record(now, shards)
+        self._gangs(now)
+        ordered = sorted(owner.jobs.values(), key=precedence)
+        for shard in shards:
+            promised: Room = {}
+            machines = owner.shard_machines(shard.name)
+            self._place(now, shard, machines, ordered, promised)
+            self._compete(now, shard, machines, ordered, promised)
+        for team, name, record in owner.quota.trims(now):
+            self._trim(team, owner.held[name], record)
+
+    # -- results --------------------------------------------------------------------------------
+
+    def _record(self, now: float, shards: list[Shard]) -> None:
+        """Make finished tasks durable; end jobs whose last task has."""
+        owner = self.owner
+        for job in list(owner.jobs.values()):
+            if not job.fresh or job.committing:
+                continue
+            shard = next((s for s in shards if job.claims.get(s.name, 0) & job.fresh), None)
+            if shard is None:
+                continue
+            fresh = 0
+            for s in shards:
+                fresh |= job.claims.get(s.name, 0) & job.fresh
+            fin = job.fin | fresh
+            key = JOB + job.id
+            changes: list[wire.Put | wire.Drop]
+            if fin == job.every:
+                changes = [
+                    wire.Drop(key),
+                    wire.Put(OVER + job.id, OverRecord(DONE, job.spec.tasks)),
+                ]
+            else:
+                changes = [wire.Put(key, job.with_sets(fin, job.claims))]
+            self._write(job, shard, changes)
+
+    def _write(
+        self,
+        job: JobRun,
+        shard: Shard,
+        changes: list[wire.Put | wire.Drop],
+        extra: list[tuple[str, int]] | None = None,
+    ) -> None:
+        """Write a job's record, if neither it nor the shard's holder has changed."""
+        owner = self.owner
+        job.committing = True
+
+        def done(result: Result) -> None:
+            job.committing = False
+            owner.dirty = True
+            if result.outcome is Outcome.CONFLICT:
+                job.claim_after = owner.now + owner.random.uniform(0.05, 0.3)
+                owner.want_sync()
+            elif result.outcome is not Outcome.DONE:
+                job.claim_after = owner.now + owner.random.uniform(0.3, 1.0)
+
+        conditions = [(JOB + job.id, job.stamp), (HOLDER + shard.name, shard.term)]
+        owner.commit(conditions + (extra or []), changes, done)
+
+    def _trim(self, team: str, shard: Shard, record: object) -> None:
+        owner = self.owner
+        key = QUOTA + team
+        stamp = owner.mirror.stamp(key)
+        new = record.shards.get(shard.name, (0.0, 0.0))  # type: ignore[attr-defined]
+        # Until the outcome is known, the smaller allotment holds here.
+        owner.quota.shrinking[shard.name, team] = (stamp, new)
+
+        def done(result: Result) -> None:
+            if result.outcome in (Outcome.REFUSED, Outcome.CONFLICT):
+                owner.quota.shrinking.pop((shard.name, team), None)
+
+        conditions = [(key, stamp), (HOLDER + shard.name, shard.term)]
+        owner.commit(conditions, [wire.Put(key, record)], done)
+
+    # -- gangs ----------------------------------------------------------------------------------
+
+    def _gangs(self, now: float) -> None:
+        """A gang that lost a task ends as a whole, and starts anew once all of it is gone."""
+        workers = self.owner.workers
+        for job in self.owner.jobs.values():
+            if not job.gang:
+                continue
+            live = [p for p in job.placed.values() if p.live]
+            if not live:
+                job.failing = False
+                continue
+            if any(p.halt is not None for p in live) and not job.failing:
+                # An orderly stop: everybody hears of it with the same grace.
+                grace = max(p.halt or 0.0 for p in live)
+                for p in live:
+                    if p.halt is None:
+                        workers.halt(p, grace, "gang")
+            elif job.failing:
+                for p in live:
+                    workers.halt(p, 0.0, "gang")
+
+    # -- placing --------------------------------------------------------------------------------
+
+    def _place(
+        self,
+        now: float,
+        shard: Shard,
+        machines: list[Machine],
+        ordered: list[JobRun],
+        promised: Room,
+    ) -> None:
+        """Place claimed tasks; make room for them; release those that find none."""
+        owner = self.owner
+        name = shard.name
+        for job in ordered:
+            bits = job.placeable(name)
+            if not bits:
+                job.stuck_at.pop(name, None)
+                continue
+            if now < job.hold_until or (job.gang and job.placed):
+                continue
+            spec = job.spec
+            wanted = bits.bit_count()
+            allowed = owner.quota.places(name, spec, wanted)
+            indexes: list[int] = []
+            if allowed >= wanted or (allowed > 0 and not job.gang):
+                indexes = list(taskset.members(taskset.lowest(bits, min(allowed, 1000))))
+            usable = machines
+            if not job.array:
+                # An earlier attempt that has exited is still to be removed from some.
+                usable = [
+                    m
+                    for m in machines
+                    if not any(p.job is job and not p.live for p in m.tasks.values())
+                ]
+            planned = plan(job, indexes, usable, owner.random, {}) if indexes else []
+            if planned:
+                attempt = shard.next_attempt()
+                for index, machine in planned:
+                    self._start(now, job, index, machine, attempt)
+            left = wanted - len(planned)
+            if not left:
+                job.stuck_at.pop(name, None)
+                continue
+            making = 0
+            if len(indexes) > len(planned):
+                making = self._make_room(now, job, left, machines, promised)
+            since = job.stuck_at.setdefault(name, now)
+            if making >= left or now - since < self.poll_s or job.committing:
+                continue
+            self._release(now, job, shard)
+
+    def _start(self, now: float, job: JobRun, index: int, machine: Machine, attempt: int) -> None:
+        owner = self.owner
+        task = f"{job.id}/{index}"
+        if task in machine.tasks:
+            # An earlier attempt that has exited here is still to be removed.
+            return
+        placement = Placement(job, index, task, attempt, machine)
+        placement.started_at = now
+        machine.tasks[task] = placement
+        machine.take(job.spec, 1)
+        machine.urgent = True
+        job.add(placement)
+        job.attempt = attempt
+        owner.quota.started(machine.record.shard, job.spec)
+        log.info(
+            "start task=%s attempt=%d machine=%s team=%s waited=%.1f",
+            task,
+            attempt,
+            machine.name,
+            job.spec.team,
+            owner.wall() - job.at,
+        )
+
+    def _make_room(
+        self, now: float, job: JobRun, count: int, machines: list[Machine], promised: Room
+    ) -> int:
+        """Stop tasks that this job may displace; how many of its tasks will then fit."""
+        making = 0
+        spec = job.spec
+        candidates: list[tuple[float, Machine, list[Placement]]] = []
+        counts = zone_counts(job)
+        for machine in machines:
+            if not machine.open or not machine_allowed(spec, machine):
+                continue
+            if spec.one_zone and counts and machine.record.zone not in counts:
+                continue
+            if spec.spread and counts.get(machine.record.zone, 0) >= (spec.tasks + 1) // 2:
+                continue
+            room = list(room_of(machine, promised))
+            leaving: list[Placement] = []
+            victims: list[Placement] = []
+            for p in machine.tasks.values():
+                if not p.live or p.job is None:
+                    continue
+                if p.halt is not None:
+                    leaving.append(p)
+                elif may_stop(job, p.job):
+                    victims.append(p)
+            for p in leaving:
+                assert p.job is not None
+                room = [r + n for r, n in zip(room, _need(p.job), strict=True)]
+            victims.sort(key=lambda p: (p.job.priority if p.job else 0, -p.started_at))
+            chosen: list[Placement] = []
+            loss = 0.0
+            while slots(spec, (room[0], room[1], room[2])) < 1 and victims:
+                p = victims.pop(0)
+                assert p.job is not None
+                chosen.append(p)
+                loss += (now - p.started_at) * p.job.spec.cpus
+                room = [r + n for r, n in zip(room, _need(p.job), strict=True)]
+            if slots(spec, (room[0], room[1], room[2])) >= 1:
+                candidates.append((loss, machine, chosen))
+        candidates.sort(key=lambda c: (c[0], c[1].name))
+        if job.gang and len(candidates) < count:
+            return 0
+        for _, machine, chosen in candidates:
+            if making >= count:
+                break
+            making += 1
+            held = promised.setdefault(machine.name, [0.0, 0.0, 0.0])
+            held[0] += spec.cpus
+            held[1] += spec.gpus
+            held[2] += spec.memory_gb
+            for p in chosen:
+                assert p.job is not None
+                grace = p.job.spec.save_s if p.job.spec.checkpoint_s > 0 else 0.0
+                self.owner.workers.halt(p, grace * 1.2, job.id)
+        return making
+
+    def _release(self, now: float, job: JobRun, shard: Shard) -> None:
+        """Give back claims that found no place within a poll (a whole job's only all together)."""
+        if job.committing:
+            return
+        name = shard.name
+        bits = job.placeable(name)
+        if job.whole and (job.placed or bits != job.claimed(name) or job.limbo.get(name)):
+            return
+        claims = dict(job.claims)
+        claims[name] = claims.get(name, 0) & ~bits
+        # What is being released must not be placed: the record is conditional, the room is not.
+        job.hold_until = now + 0.5
+        job.stuck_at.pop(name, None)
+        job.claim_after = now + self.owner.random.uniform(0.5, 1.5) * self.poll_s
+        job.releasing |= bits
+        self._write_release(job, shard, claims, bits)
+
+    def _write_release(self, job: JobRun, shard: Shard, claims: dict[str, int], bits: int) -> None:
+        owner = self.owner
+        stamp = job.stamp
+        job.committing = True
+
+        def done(result: Result) -> None:
+            job.committing = False
+            owner.dirty = True
+            if result.outcome is Outcome.UNKNOWN and job.stamp == stamp:
+                # It may be executed late: nothing is placed until a repetition has settled it.
+                self.retries.append((job, shard, claims, bits))
+                return
+            job.releasing &= ~bits
+            owner.want_sync()
+
+        conditions = [(JOB + job.id, stamp), (HOLDER + shard.name, shard.term)]
+        put = wire.Put(JOB + job.id, job.with_sets(job.fin, claims))
+        owner.commit(conditions, [put], done)
+
+    # -- competing ------------------------------------------------------------------------------
+
+    def fitting(self, job: JobRun, shard: str, machines: list[Machine], promised: Room) -> int:
+        """How many unclaimed tasks fit this shard's free room; they are added to `promised`."""
+        bits = job.unclaimed
+        wanted = self.owner.quota.claimable(shard, job.spec, bits.bit_count())
+        if job.whole and wanted < bits.bit_count():
+            return 0
+        if not wanted:
+            return 0
+        indexes = list(taskset.members(taskset.lowest(bits, min(wanted, 1000))))
+        return len(plan(job, indexes, machines, self.owner.random, promised))
+
+    def _compete(
+        self,
+        now: float,
+        shard: Shard,
+        machines: list[Machine],
+        ordered: list[JobRun],
+        promised: Room,
+    ) -> None:
+        owner = self.owner
+        if not any(m.open for m in machines):
+            return
+        for job in ordered:
+            if self.open_claims >= BATCH:
+                return
+            if job.committing or now < job.claim_after or now < job.hold_until:
+                continue
+            bits = job.unclaimed
+            if not bits or (job.whole and bits != job.every & ~job.fin):
+                continue
+            count = self.fitting(job, shard.name, machines, promised)
+            wanted = bits.bit_count()
+            if job.whole and count < wanted and not job.gang and now - job.seen_at > self.poll_s:
+                # A service that must be decided in one place starts with what there is.
+                count = wanted if count else 0
+            if count < wanted and now - job.seen_at > self.poll_s / 3:
+                able = owner.quota.claimable(shard.name, job.spec, wanted)
+                if able > count:
+                    count += self._could_make(job, able - count, machines, promised)
+            if not count or (job.whole and count < wanted):
+                continue
+            self.claim(job, shard, taskset.lowest(bits, count))
+
+    def _could_make(self, job: JobRun, count: int, machines: list[Machine], promised: Room) -> int:
+        """How many tasks would fit if others were stopped for them (nothing is stopped yet)."""
+        making = 0
+        spec = job.spec
+        zones: set[str] = set()
+        for machine in machines:
+            if making >= count:
+                break
+            if not machine.open or not machine_allowed(spec, machine):
+                continue
+            room = list(room_of(machine, promised))
+            for p in machine.tasks.values():
+                if p.live and p.job is not None and (p.halt is not None or may_stop(job, p.job)):
+                    room = [r + n for r, n in zip(room, _need(p.job), strict=True)]
+            if slots(spec, (room[0], room[1], room[2])) >= 1:
+                if spec.one_zone and zones and machine.record.zone not in zones:
+                    continue
+                zones.add(machine.record.zone)
+                making += 1
+        return making
+
+    def claim(self, job: JobRun, shard: Shard, bits: int) -> None:
+        """Claim tasks for a shard, together with the allotment they need."""
+        owner = self.owner
+        changes, conditions = self.claim_changes(job.spec.team, shard, job, bits)
+        self.open_claims += 1
+        job.committing = True
+
+        def done(result: Result) -> None:
+            job.committing = False
+            self.open_claims -= 1
+            owner.dirty = True
+            if result.outcome is Outcome.DONE:
+                return
+            owner.count("claim_conflicts")
+            owner.want_sync()
+            job.claim_after = owner.now + owner.random.uniform(0.1, 1.0) * self.poll_s
+
+        conditions += [(JOB + job.id, job.stamp), (HOLDER + shard.name, shard.term)]
+        owner.commit(conditions, changes, done)
+
+    def claim_changes(
+        self, team: str, shard: Shard, job: JobRun, bits: int
+    ) -> tuple[list[wire.Put | wire.Drop], list[tuple[str, int]]]:
+        """Changes and conditions of a claim."""
+        owner = self.owner
+        claims = dict(job.claims)
+        claims[shard.name] = claims.get(shard.name, 0) | bits
+        changes: list[wire.Put | wire.Drop] = [
+            wire.Put(JOB + job.id, job.with_sets(job.fin, claims))
+        ]
+        conditions: list[tuple[str, int]] = []
+        grown = owner.quota.grown(shard.name, job.spec, bits.bit_count())
+        if grown is not None:
+            key = QUOTA + team
+            changes.append(wire.Put(key, grown))
+            conditions.append((key, owner.mirror.stamp(key)))
+        return changes, conditions
+
+
+def _need(job: JobRun) -> tuple[float, float, float]:
+    return job.spec.cpus, job.spec.gpus, job.spec.memory_gb
--- /dev/null
+++ b/sagecove/coordination/leadership.py
@@ -0,0 +1,249 @@
+"""This controller's lease, the shards it holds, takeover and hand-back.
+
+A shard's holder is named by one key on the holder's lease; the key's revision is the term. A
+holder acts only while its own conservative estimate says that its lease lives and its mirror is
+no older than one lease length, so that whoever takes the shard after the lapse, and whoever
+cancelled a job meanwhile, can count on it having stopped.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from sagecove.coordination.model import Shard
+from sagecove.protocol import state as wire
+from sagecove.storage.records import (
+    HOLDER,
+    MEMBER,
+    PROVISIONER,
+    HolderRecord,
+    MemberRecord,
+)
+from sagecove.storage.store import Outcome, Result, decode
+
+if TYPE_CHECKING:
+    from sagecove.coordination.owner import Owner
+
+log = logging.getLogger("sagecove.leadership")
+
+
+class Leadership:
+    """Lease and terms."""
+
+    def __init__(self, owner: Owner) -> None:
+        self.owner = owner
+        self.length = owner.settings.lease_s
+        self.lease: int | None = None
+        self.until = 0.0
+        self.granting = False
+        self.renewing = False
+        self.renew_at = 0.0
+        self.member_put = False
+        # Keys with a takeover or hand-back under way.
+        self.busy: set[str] = set()
+        self.missing_since: dict[str, float] = {}
+        self.provisioner_term = 0
+        self.returned_at: dict[str, float] = {}
+        # When a foreign shard's namesake was first seen healthy: it gets a moment to settle.
+        self.namesake_since: dict[str, float] = {}
+
+    def acting_until(self) -> float:
+        """The moment after which this controller must not act."""
+        synced = self.owner.synced_at + self.length * (1 - self.owner.settings.drift)
+        return min(self.until, synced)
+
+    def acting(self, now: float) -> bool:
+        """May act for its shards."""
+        return self.lease is not None and now < self.acting_until()
+
+    # -- the lease ------------------------------------------------------------------------------
+
+    def tick(self, now: float) -> None:
+        """Keep the lease, and take what is missing."""
+        if self.lease is None:
+            if not self.granting and now >= self.renew_at:
+                self.granting = True
+                self.owner.store.grant(now, self.length, self._granted(now))
+            return
+        if now >= self.renew_at and not self.renewing:
+            self.renewing = True
+            # While refused, a node retries fast: the first renewal after an outage counts.
+            self.renew_at = now + self.length / 8
+            self.owner.store.renew(now, self.lease, self._renewed(now, self.lease))
+        if self.owner.mirror.loaded and now < self.until:
+            self._take_missing(now)
+            self._give_back(now)
+
+    def _estimate(self, sent: float) -> float:
+        return sent + self.length * (1 - self.owner.settings.drift) - 0.05
+
+    def _granted(self, sent: float) -> Callable[[int | None, bytes], None]:
+        def done(status: int | None, body: bytes) -> None:
+            self.granting = False
+            answer = decode(body, wire.Granted) if status == 200 else None
+            if answer is None:
+                self.renew_at = self.owner.now + self.length / 16
+                return
+            self.lease = answer.lease
+            self.until = self._estimate(sent)
+            self.renew_at = sent + self.length / 8
+            self.member_put = False
+            self._retake_own()
+
+        return done
+
+    def _renewed(self, sent: float, lease: int) -> Callable[[int | None, bytes], None]:
+        def done(status: int | None, body: bytes) -> None:
+            self.renewing = False
+            if lease != self.lease:
+                return
+            if status == 200:
+                self.until = max(self.until, self._estimate(sent))
+            elif status == 404:
+                log.info("lease lost lease=%d", lease)
+                self.lease = None
+                self.until = 0.0
+                self.renew_at = self.owner.now
+                self.provisioner_term = 0
+                for name in list(self.owner.held):
+                    self.owner.lose_shard(name)
+            else:
+                self.renew_at = min(self.renew_at, self.owner.now + self.length / 16)
+
+        return done
+
+    # -- taking ---------------------------------------------------------------------------------
+
+    def _retake_own(self) -> None:
+        """After a start: the process that held this node's shard is dead, so take it at once."""
+        owner = self.owner
+        if not owner.mirror.loaded or self.lease is None:
+            return
+        node = owner.settings.node
+        if not self.member_put:
+            self.member_put = True
+            changes: list[wire.Put | wire.Drop] = [
+                wire.Put(MEMBER + node, MemberRecord(self.lease), self.lease)
+            ]
+            owner.commit([], changes, self._member_done, urgent=True)
+        item = owner.mirror.items.get(HOLDER + node)
+        if node not in owner.held and (
+            item is None or (item.value.node == node and item.value.lease != self.lease)
+        ):
+            self._take(node)
+
+    def _member_done(self, result: Result) -> None:
+        if result.outcome is not Outcome.DONE:
+            self.member_put = False
+
+    def _take(self, shard: str) -> None:
+        key = HOLDER + shard
+        if key in self.busy or self.lease is None:
+            return
+        self.busy.add(key)
+        owner = self.owner
+
+        def done(result: Result) -> None:
+            self.busy.discard(key)
+            owner.want_sync()
+            if result.outcome is not Outcome.DONE:
+                self.missing_since[shard] = owner.now + owner.random.uniform(0, self.length / 16)
+
+        stamp = owner.mirror.stamp(key)
+        put = wire.Put(key, HolderRecord(owner.settings.node, self.lease), self.lease)
+        owner.commit([(key, stamp)], [put], done, urgent=True)
+
+    def _take_missing(self, now: float) -> None:
+        owner = self.owner
+        node = owner.settings.node
+        self._retake_own()
+        for name in owner.settings.nodes:
+            key = HOLDER + name
+            if key in owner.mirror.items:
+                self.missing_since.pop(name, None)
+                continue
+            if name == node:
+                continue
+            if not owner.shard_in_use(name):
+                continue
+            since = self.missing_since.setdefault(
+                name, now + owner.random.uniform(0, self.length / 32)
+            )
+            # The namesake, if it is up, takes its own shard: leave it the first try.
+            patience = self.length / 8 if MEMBER + name in owner.mirror.items else 0.0
+            if now >= since + patience and now < self.acting_until():
+                self._take(name)
+        if PROVISIONER not in owner.mirror.items:
+            since = self.missing_since.setdefault(
+                PROVISIONER, now + owner.random.uniform(0, self.length / 16)
+            )
+            if now >= since and PROVISIONER not in self.busy:
+                self.busy.add(PROVISIONER)
+
+                def done(result: Result) -> None:
+                    self.busy.discard(PROVISIONER)
+                    self.missing_since[PROVISIONER] = owner.now + self.length / 16
+
+                put = wire.Put(PROVISIONER, HolderRecord(node, self.lease), self.lease)
+                owner.commit([(PROVISIONER, 0)], [put], done, urgent=True)
+        else:
+            self.missing_since.pop(PROVISIONER, None)
+
+    def check_holders(self) -> None:
+        """Gain and lose shards by what the mirror says of their holders."""
+        owner = self.owner
+        for name in owner.settings.nodes:
+            item = owner.mirror.items.get(HOLDER + name)
+            # A key under the lease of an earlier process of this node is not this one's.
+            mine = item is not None and item.value.lease == self.lease and self.lease is not None
+            held = owner.held.get(name)
+            if held is not None and (not mine or item is None or held.term != item.stamp):
+                owner.lose_shard(name)
+                held = None
+            # Records read for the shard must be no older than the term: earlier holders'
+            # transactions are conditional on theirs and fail from then on.
+            if mine and item is not None and held is None and owner.mirror.applied >= item.stamp:
+                owner.gain_shard(Shard(name, item.stamp, owner.now))
+        role = owner.mirror.items.get(PROVISIONER)
+        mine = role is not None and role.value.lease == self.lease and self.lease is not None
+        self.provisioner_term = role.stamp if mine and role is not None else 0
+
+    # -- handing back ---------------------------------------------------------------------------
+
+    def _give_back(self, now: float) -> None:
+        """Foreign shards return to their namesake once it is up: a new term, no task stopped."""
+        owner = self.owner
+        for name, shard in list(owner.held.items()):
+            if name == owner.settings.node:
+                continue
+            item = owner.mirror.items.get(MEMBER + name)
+            if item is None or item.value is None:
+                self.namesake_since.pop(name, None)
+                if not shard.yielding:
+                    continue
+            else:
+                since = self.namesake_since.setdefault(name, now)
+                if now - since < self.length / 8 and not shard.yielding:
+                    continue
+            key = HOLDER + name
+            if key in self.busy:
+                continue
+            # From here on nothing is answered or commanded for the shard, whatever becomes of
+            # the transaction: it may be executed long after it was sent.
+            shard.yielding = True
+            self.busy.add(key)
+            if item is not None and item.value is not None:
+                put = wire.Put(key, HolderRecord(name, item.value.lease), item.value.lease)
+            else:
+                assert self.lease is not None
+                put = wire.Put(key, HolderRecord(owner.settings.node, self.lease), self.lease)
+
+            def done(result: Result, key: str = key, name: str = name) -> None:
+                self.busy.discard(key)
+                if result.outcome is Outcome.NO_LEASE:
+                    self.namesake_since.pop(name, None)
+                owner.want_sync()
+
+            owner.commit([(key, shard.term)], [put], done, urgent=True)
--- /dev/null
+++ b/sagecove/coordination/model.py
@@ -0,0 +1,250 @@
+"""What the owner keeps in memory about jobs, machines, placements and shards."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import OrderedDict
+
+from sagecove.protocol import workers as w
+from sagecove.protocol.cloud import MachineType
+from sagecove.protocol.users import ARRAY, GANG, PRIORITIES, SERVICE, Job
+from sagecove.storage import taskset
+from sagecove.storage.records import JobRecord, MachineRecord
+
+SENT = "sent"
+EPS = 1e-6
+
+
+class JobRun:
+    """A live job: its record, and what this controller knows beyond it."""
+
+    def __init__(self, record: JobRecord, stamp: int) -> None:
+        self.spec: Job = record.spec
+        self.id = record.spec.id
+        self.at = record.at
+        self.every = taskset.full(self.spec.tasks)
+        self.priority = PRIORITIES[self.spec.priority]
+        self.within = False
+        # Durable sets, from the record.
+        self.fin = 0
+        self.claims: dict[str, int] = {}
+        # Tasks reported done here whose number is not yet durable.
+        self.fresh = 0
+        self.placed: dict[int, Placement] = {}
+        self.placed_bits = 0
+        # Per shard: tasks claimed before a takeover that may be on a machine not heard of yet.
+        self.limbo: dict[str, int] = {}
+        # Tasks whose release is under way: placed by nobody until its outcome is known.
+        self.releasing = 0
+        self.committing = False
+        self.claim_after = 0.0
+        self.seen_at = 0.0
+        self.stuck_at: dict[str, float] = {}
+        self.errors: dict[str, float] = {}
+        self.hold_until = 0.0
+        self.attempt = 0
+        self.failing = False
+        self.update(record, stamp)
+
+    def update(self, record: JobRecord, stamp: int) -> None:
+        """Take over a newer record."""
+        self.record = record
+        self.stamp = stamp
+        self.fin = taskset.decode(record.fin)
+        self.claims = {shard: taskset.decode(text) for shard, text in record.claims.items()}
+        self.fresh &= ~self.fin
+
+    @property
+    def whole(self) -> bool:
+        """One claim for all tasks, so that rules over the job's tasks are decided in one place."""
+        return self.spec.kind == GANG or self.spec.one_zone or self.spec.spread
+
+    @property
+    def gang(self) -> bool:
+        """All tasks run together or none does."""
+        return self.spec.kind == GANG
+
+    @property
+    def service(self) -> bool:
+        """Runs until cancelled."""
+        return self.spec.kind == SERVICE
+
+    @property
+    def array(self) -> bool:
+        """Independent tasks."""
+        return self.spec.kind == ARRAY
+
+    @property
+    def unfinished(self) -> int:
+        """Tasks that have not completed."""
+        return self.every & ~self.fin & ~self.fresh
+
+    @property
+    def unclaimed(self) -> int:
+        """Tasks that no shard holds."""
+        bits = self.every & ~self.fin
+        for claim in self.claims.values():
+            bits &= ~claim
+        return bits
+
+    def claimed(self, shard: str) -> int:
+        """Unfinished tasks held by a shard."""
+        return self.claims.get(shard, 0) & self.unfinished
+
+    def placeable(self, shard: str) -> int:
+        """Tasks held by a shard that are provably nowhere."""
+        if self.whole and self.limbo.get(shard):
+            return 0
+        bits = self.claimed(shard) & ~self.placed_bits & ~self.releasing
+        return bits & ~self.limbo.get(shard, 0)
+
+    def add(self, placement: Placement) -> None:
+        """A task may now be on a machine."""
+        self.placed[placement.index] = placement
+        self.placed_bits |= 1 << placement.index
+
+    def remove(self, placement: Placement) -> None:
+        """A task is known to be gone from its machine."""
+        if self.placed.get(placement.index) is placement:
+            del self.placed[placement.index]
+            self.placed_bits &= ~(1 << placement.index)
+
+    def with_sets(self, fin: int, claims: dict[str, int]) -> JobRecord:
+        """The record with other sets of finished and claimed tasks."""
+        return JobRecord(
+            self.spec,
+            self.at,
+            {s: taskset.encode(b & ~fin) for s, b in claims.items() if b & ~fin},
+            taskset.encode(fin),
+        )
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Placement:
+    """A task that is, or may be, on a machine."""
+
+    job: JobRun | None
+    index: int
+    task: str
+    attempt: int
+    machine: Machine
+    state: str = SENT
+    why: str = ""
+    saved: bool = False
+    # None: meant to run. Otherwise it is to stop, with this grace.
+    halt: float | None = None
+    halted_at: float = 0.0
+    for_whom: str = ""
+    started_at: float = 0.0
+    running_at: float = 0.0
+    # `seq` of the last report whose response carried the launch.
+    answered_seq: int = 0
+    # Direct commands with the launch that have not been answered yet.
+    open_calls: int = 0
+    # A direct launch got no answer under this token: it may be executed until a higher is seen.
+    doubt_token: int = -1
+    reaping: bool = False
+
+    @property
+    def live(self) -> bool:
+        """It takes room."""
+        return self.state != w.EXITED
+
+    @property
+    def in_flight(self) -> bool:
+        """A launch of this attempt may still arrive at the worker."""
+        return self.open_calls > 0 or self.doubt_token >= 0
+
+
+class Machine:
+    """A machine of any shard. Task lists are kept only while this controller holds the shard."""
+
+    def __init__(self, name: str, record: MachineRecord, stamp: int, now: float) -> None:
+        self.name = name
+        self.record = record
+        self.stamp = stamp
+        self.seen_at = now
+        self.kind: MachineType | None = None
+        self.reset(now)
+        self.images: OrderedDict[str, float] = OrderedDict()
+        self.errors: dict[str, float] = {}
+        self.sick = False
+        self.committing = False
+        self.elsewhere_at = -1e9
+
+    def reset(self, now: float) -> None:
+        """Forget what a worker said: this controller did not hold the shard until now."""
+        self.session = 0
+        self.seq = 0
+        self.brand = 0
+        self.over_session = -1
+        self.known = False
+        self.ever_heard = False
+        self.addr = self.record.addr
+        self.heard_at = now
+        self.answered_at = now
+        self.idle_since = now
+        self.notice = False
+        self.tasks: dict[str, Placement] = {}
+        # Tasks reported that are none of this shard's: to be stopped and removed.
+        self.strays: dict[tuple[str, int], str] = {}
+        self.used = [0.0, 0.0, 0.0]
+        self.urgent = False
+        self.calling = 0
+
+    def free(self) -> tuple[float, float, float]:
+        """CPUs, GPUs and memory not taken by placements."""
+        kind = self.kind
+        if kind is None:
+            return 0.0, 0.0, 0.0
+        return (
+            kind.cpus - self.used[0],
+            kind.gpus - self.used[1],
+            kind.memory_gb - self.used[2],
+        )
+
+    def take(self, spec: Job, sign: float) -> None:
+        """Count a task's room in (1) or out (-1)."""
+        self.used[0] += sign * spec.cpus
+        self.used[1] += sign * spec.gpus
+        self.used[2] += sign * spec.memory_gb
+
+    @property
+    def open(self) -> bool:
+        """May be given new tasks."""
+        return (
+            self.known
+            and not self.record.leaving
+            and not self.notice
+            and not self.sick
+            and not self.murky
+            and self.kind is not None
+        )
+
+    @property
+    def murky(self) -> bool:
+        """Runs tasks of whose jobs nothing is known here."""
+        return any(state != w.EXITED for state in self.strays.values())
+
+    @property
+    def empty(self) -> bool:
+        """Provably without any task, and nothing on its way."""
+        return self.known and not self.tasks and not self.strays and not self.calling
+
+
+class Shard:
+    """A shard this controller holds."""
+
+    def __init__(self, name: str, term: int, now: float) -> None:
+        self.name = name
+        self.term = term
+        self.since = now
+        self.attempts = 0
+        # Machines that were in the shard at the takeover and have not reported under the term.
+        self.unknown: set[str] = set()
+        self.yielding = False
+
+    def next_attempt(self) -> int:
+        """An attempt number no controller has used: the term above, a counter below."""
+        self.attempts += 1
+        return (self.term << 20) | self.attempts
--- /dev/null
+++ b/sagecove/coordination/owner.py
@@ -0,0 +1,643 @@
+"""The one owner of all state in a process.
+
+Commands go in by batches (`handle`), effects come out as data. Time and randomness are passed in.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import msgspec
+
+from sagecove.config import Settings
+from sagecove.coordination.claims import Claims
+from sagecove.coordination.effects import Answered, Asked, Call, Command, Effect, Reply
+from sagecove.coordination.leadership import Leadership
+from sagecove.coordination.model import JobRun, Machine, Placement, Shard
+from sagecove.coordination.placement import Room
+from sagecove.coordination.provision import Provision
+from sagecove.coordination.quota import Quota
+from sagecove.coordination.users import Users
+from sagecove.coordination.workers import Workers
+from sagecove.protocol import state as wire
+from sagecove.protocol.cloud import MachineType
+from sagecove.protocol.peers import Hint, read_hint
+from sagecove.protocol.users import Refusal
+from sagecove.storage import records as r
+from sagecove.storage.mirror import Event, Item, Mirror
+from sagecove.storage.store import Outcome, Result, Store, decode
+
+log = logging.getLogger("sagecove.owner")
+
+Done = Callable[[int | None, bytes], None]
+
+# A pass over jobs and machines, at most this often (seconds); ticks come about as often.
+PASS_S = 0.05
+TICK_S = 0.25
+
+
+class Owner:
+    """All state, and what is done about it."""
+
+    def __init__(self, settings: Settings, random: Random, now: float, wall: float) -> None:
+        self.settings = settings
+        self.random = random
+        self.now = now
+        self.started_at = now
+        self._wall_offset = wall - now
+        self.effects: list[Effect] = []
+        self.pending: dict[int, Done] = {}
+        self.tokens = 0
+        self.mirror = Mirror()
+        state = settings.params.state
+        self.store = Store(
+            state.rps, state.write_rps, len(settings.nodes), now, self._send_to_state
+        )
+        self.jobs: dict[str, JobRun] = {}
+        self.machines: dict[str, Machine] = {}
+        self.by_shard: dict[str, dict[str, Machine]] = {}
+        self.types: dict[str, MachineType] = {}
+        self.held: dict[str, Shard] = {}
+        self.hints: dict[str, tuple[float, Hint]] = {}
+        # Jobs short of room in the shard that must have them: (shard, tasks, when said).
+        self.hungry: dict[str, tuple[str, int, float]] = {}
+        self.cancelled_lately: list[str] = []
+        self.class_run: dict[str, float] = {}
+        self.counts: dict[str, int] = {}
+        self.synced_at = -1e9
+        self.sync_failed_at = -1e9
+        self.syncing = False
+        self.sync_wanted = False
+        self.sync_at = 0.0
+        self.watching = False
+        self.watch_at = 0.0
+        self.loading = False
+        self.load_at = 0.0
+        self.page_items: dict[str, Item] = {}
+        self.page_ledger = 0
+        self.page_begun = 0.0
+        self.dirty = True
+        self.passed_at = -1e9
+        self.ticked_at = -1e9
+        self.hint_at = 0.0
+        self.quota = Quota(self)
+        self.leadership = Leadership(self)
+        self.workers = Workers(self)
+        self.claims = Claims(self)
+        self.users = Users(self)
+        self.provision = Provision(self)
+
+    # -- the loop -------------------------------------------------------------------------------
+
+    def handle(self, commands: list[Command], now: float, wall: float) -> list[Effect]:
+        """Take in a batch of commands; what is to be done about them."""
+        self.now = now
+        self._wall_offset = wall - now
+        for command in commands:
+            if isinstance(command, Answered):
+                done = self.pending.pop(command.token, None)
+                if done is not None:
+                    done(command.status, command.body)
+            else:
+                self._asked(command)
+        if now - self.ticked_at >= TICK_S:
+            self.ticked_at = now
+            self._tick(now)
+        if self.dirty and now - self.passed_at >= PASS_S:
+            self.dirty = False
+            self.passed_at = now
+            self._pass(now)
+        self.workers.flush(now)
+        self._sync_if_due(now)
+        self.store.flush(now)
+        effects, self.effects = self.effects, []
+        return effects
+
+    def wait(self) -> float:
+        """Seconds until the owner wants to be called again, commands or none."""
+        waits = [TICK_S - (self.now - self.ticked_at)]
+        if self.dirty:
+            waits.append(PASS_S - (self.now - self.passed_at))
+        if self.sync_wanted and not self.syncing:
+            waits.append(self.sync_at - self.now)
+        if self.store.waiting:
+            waits.append(self.store.flush(self.now) or 0.01)
+        return max(0.002, min(waits))
+
+    def wall(self) -> float:
+        """The time of day."""
+        return self.now + self._wall_offset
+
+    def count(self, what: str) -> None:
+        """Count an event, for metrics."""
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    def _tick(self, now: float) -> None:
+        if not self.mirror.loaded:
+            self._load(now)
+        elif not self.watching and now >= self.watch_at:
+            self._watch(now)
+        self.leadership.tick(now)
+        self.workers.tick(now)
+        self.workers.raise_tokens()
+        self.provision.tick(now)
+        self._idle(now)
+        self._hint(now)
+        if self.mirror.loaded and now - self.synced_at > self.leadership.length / 8:
+            self.want_sync()
+        self.dirty = True
+
+    def _pass(self, now: float) -> None:
+        self.quota.forget()
+        self.quota.assign_guarantees(list(self.jobs.values()))
+        self._halt_over()
+        self.claims.run(now)
+
+    # -- requests -------------------------------------------------------------------------------
+
+    def _asked(self, ask: Asked) -> None:
+        path = ask.path
+        if ask.peer:
+            self._peer(ask)
+        elif path == "/hello":
+            if ask.method != "POST":
+                self.effects.append(Reply(ask.exchange, 405, Refusal("POST only")))
+            else:
+                self.workers.report(ask.body, ask.exchange)
+        elif path == "/ready":
+            self._ready(ask)
+        elif path == "/api/jobs":
+            if ask.method != "POST":
+                self.effects.append(Reply(ask.exchange, 405, Refusal("POST only")))
+            else:
+                self.users.submit(ask.body, ask.exchange)
+        elif path.startswith("/api/jobs/"):
+            job_id, _, rest = path[len("/api/jobs/") :].partition("/")
+            if rest not in ("", "cancel"):
+                self.effects.append(Reply(ask.exchange, 404, Refusal("no such path")))
+            elif ask.method != ("POST" if rest else "GET"):
+                self.effects.append(Reply(ask.exchange, 405, Refusal("wrong method")))
+            elif rest:
+                self.users.cancel(job_id, ask.exchange)
+            else:
+                self.users.status(job_id, ask.exchange)
+        else:
+            self.effects.append(Reply(ask.exchange, 404, Refusal("no such path")))
+
+    def _ready(self, ask: Asked) -> None:
+        if ask.method not in ("GET", "HEAD"):
+            self.effects.append(Reply(ask.exchange, 405, Refusal("GET only")))
+        elif self.ready():
+            self.effects.append(Reply(ask.exchange, 200, {"ready": True}))
+        else:
+            self.effects.append(Reply(ask.exchange, 503, Refusal("not ready")))
+
+    def ready(self) -> bool:
+        """Can take requests: or is no worse off than the other controllers."""
+        if not self.mirror.loaded or not self.types:
+            return False
+        if self.now - self.synced_at < 3.0:
+            return True
+        # In an outage of the state service everybody is refused: being taken out of balance would
+        # only delay the return. Refused alone, this node lets the others answer.
+        return not any(self.now - at < 3.0 and hint.connected for at, hint in self.hints.values())
+
+    def connected(self) -> bool:
+        """The state service answered lately."""
+        return self.mirror.loaded and (
+            self.now - self.synced_at < 2.0 or self.sync_failed_at < self.synced_at
+        )
+
+    def retry_hint(self) -> float:
+        """When a refused user should come back."""
+        return 1.0 if self.connected() else 2.0
+
+    # -- calls ----------------------------------------------------------------------------------
+
+    def call(
+        self, target: str, method: str, path: str, body: Any, timeout: float, done: Done
+    ) -> None:
+        """Emit a call; `done` hears its answer."""
+        self.tokens += 1
+        self.pending[self.tokens] = done
+        self.effects.append(Call(self.tokens, target, method, path, body, timeout))
+
+    def _send_to_state(self, method: str, path: str, body: Any, timeout: float, done: Done) -> None:
+        def answered(status: int | None, raw: bytes) -> None:
+            if status == 429:
+                self.store.throttled(self.now, self.random.uniform(0.1, 0.4))
+                self.count("throttled")
+            done(status, raw)
+
+        self.call("state", method, path, body, timeout, answered)
+
+    def commit(
+        self,
+        conditions: list[tuple[str, int]],
+        changes: list[wire.Put | wire.Drop],
+        done: Callable[[Result], None],
+        *,
+        urgent: bool = False,
+    ) -> None:
+        """A transaction; on success the mirror learns of it at once."""
+
+        def committed(result: Result) -> None:
+            if result.outcome is Outcome.DONE:
+                for change in changes:
+                    key = change.key
+                    value = change.value if isinstance(change, wire.Put) else None
+                    if key.startswith(r.LIVE):
+                        self._apply(Event(key, value, result.revision))
+                    elif isinstance(value, r.OverRecord):
+                        self.users.final(key[len(r.OVER) :], value.state, value.tasks)
+            done(result)
+
+        self.store.commit(conditions, changes, committed, urgent=urgent)
+
+    def put_machine(
+        self,
+        name: str,
+        record: r.MachineRecord,
+        stamp: int,
+        shard: Shard,
+        done: Callable[[Result], None],
+    ) -> None:
+        """Write a machine's record as its shard's holder."""
+        key = r.MACHINE + name
+        conditions = [(key, stamp), (r.HOLDER + shard.name, shard.term)]
+        self.commit(conditions, [wire.Put(key, record)], done)
+
+    # -- the mirror -----------------------------------------------------------------------------
+
+    def _load(self, now: float) -> None:
+        if self.loading or now < self.load_at:
+            return
+        self.loading = True
+        self.page_items = {}
+        self.page_ledger = 0
+        self.page_begun = now
+        self.store.page(now, r.LIVE, "", self._paged)
+
+    def _paged(self, status: int | None, body: bytes) -> None:
+        page = decode(body, wire.Page) if status == 200 else None
+        if page is None:
+            self.loading = False
+            self.load_at = self.now + self.random.uniform(0.2, 0.5)
+            return
+        if not self.page_ledger:
+            # Later pages may hold newer values: the watch starts from the first page's revision.
+            self.page_ledger = page.revision
+        for pair in page.items:
+            self.page_items[pair.key] = Item(r.parse(pair.key, pair.value), pair.version)
+        if page.more and page.items:
+            self.store.page(self.now, r.LIVE, page.items[-1].key, self._paged)
+            return
+        self.loading = False
+        events = self.mirror.differences(self.page_items, self.page_ledger)
+        self.page_items = {}
+        for event in events:
+            self._apply(event)
+        first = not self.mirror.loaded
+        self.mirror.loaded = True
+        self._advance(self.page_ledger, self.page_begun)
+        if first:
+            log.info("loaded keys=%d ledger=%d", len(self.mirror.items), self.page_ledger)
+
+    def _watch(self, now: float) -> None:
+        self.watching = True
+        wait_s = min(30.0, self.leadership.length / 2)
+        self.store.watch(now, r.LIVE, self.mirror.applied, wait_s, self._changes(now, False))
+
+    def want_sync(self) -> None:
+        """A linearizable read is wanted."""
+        self.sync_wanted = True
+
+    def _sync_if_due(self, now: float) -> None:
+        if not self.sync_wanted or self.syncing or not self.mirror.loaded or now < self.sync_at:
+            return
+        self.sync_wanted = False
+        self.syncing = True
+        # Polls of an interval share one read: its length keeps reads within a part of the budget.
+        self.sync_at = now + 2.5 / self.store.requests.rate
+        self.store.watch(now, r.LIVE, self.mirror.applied, 0.0, self._changes(now, True))
+
+    def _changes(self, begun: float, sync: bool) -> Done:
+        def done(status: int | None, body: bytes) -> None:
+            if sync:
+                self.syncing = False
+            else:
+                self.watching = False
+                self.watch_at = self.now + 0.1
+            answer = decode(body, wire.Changes) if status == 200 else None
+            if answer is not None:
+                for change in answer.events:
+                    if change.put is not None:
+                        value = r.parse(change.put, change.value)
+                        self._apply(Event(change.put, value, change.version))
+                    elif change.delete is not None:
+                        self._apply(Event(change.delete, None, change.version))
+                # Only a read that answers at once proves that nothing newer was there before it.
+                self._advance(answer.revision, begun)
+                if sync:
+                    self.users.read_done(begun, True)
+                    if self.users.waiting:
+                        self.sync_wanted = True
+                return
+            if status == 410:
+                self.mirror.loaded = False
+                self.loading = False
+                if sync:
+                    self.users.read_done(begun, False)
+                return
+            if sync:
+                self.sync_failed_at = self.now
+                self.sync_at = self.now + self.random.uniform(0.15, 0.4)
+                self.users.read_done(begun, False)
+                self.sync_wanted = True
+            else:
+                self.watch_at = self.now + self.random.uniform(0.3, 0.8)
+
+        return done
+
+    def _advance(self, ledger: int, begun: float) -> None:
+        self.mirror.advance(ledger)
+        self.synced_at = max(self.synced_at, begun)
+        self.leadership.check_holders()
+        self.dirty = True
+
+    def _apply(self, event: Event) -> None:
+        key = event.key
+        if event.value is None and key in self.mirror.items:
+            pass
+        if not self.mirror.apply(event):
+            return
+        self.dirty = True
+        if key.startswith(r.JOB):
+            self._job_changed(key[len(r.JOB) :], event)
+        elif key.startswith(r.MACHINE):
+            self._machine_changed(key[len(r.MACHINE) :], event)
+        elif key == r.TYPES and event.value is not None:
+            self.types = {t.name: t for t in event.value.types}
+            for machine in self.machines.values():
+                machine.kind = self.types.get(machine.record.type)
+        elif key.startswith((r.HOLDER, r.PROVISIONER)):
+            if event.value is None and key.startswith(r.HOLDER):
+                self.leadership.check_holders()
+
+    def _job_changed(self, job_id: str, event: Event) -> None:
+        job = self.jobs.get(job_id)
+        if event.value is None:
+            if job is not None:
+                del self.jobs[job_id]
+                self.hungry.pop(job_id, None)
+                for placement in list(job.placed.values()):
+                    self.workers.halt(placement, 0.0, "job over")
+            return
+        if job is None:
+            job = self.jobs[job_id] = JobRun(event.value, event.stamp)
+            job.seen_at = self.now
+        else:
+            job.update(event.value, event.stamp)
+
+    def _machine_changed(self, name: str, event: Event) -> None:
+        machine = self.machines.get(name)
+        if event.value is None:
+            if machine is not None:
+                # Its deletion was answered by the cloud: it is gone, and all that was on it.
+                del self.machines[name]
+                self.by_shard.get(machine.record.shard, {}).pop(name, None)
+                self.workers.gone[name] = self.now
+                machine.known = False
+                self.workers.forget_tasks(machine)
+                self.machine_resolved(machine)
+            return
+        record: r.MachineRecord = event.value
+        if machine is None:
+            machine = Machine(name, record, event.stamp, self.now)
+            self.machines[name] = machine
+        else:
+            if machine.record.shard != record.shard:
+                self.by_shard.get(machine.record.shard, {}).pop(name, None)
+                machine.record = record
+                machine.reset(self.now)
+            machine.record = record
+            machine.stamp = event.stamp
+        machine.kind = self.types.get(record.type)
+        self.by_shard.setdefault(record.shard, {})[name] = machine
+
+    # -- shards ---------------------------------------------------------------------------------
+
+    def shard_machines(self, shard: str) -> list[Machine]:
+        """The machines of a shard."""
+        return list(self.by_shard.get(shard, {}).values())
+
+    def acting_shards(self, now: float) -> list[str]:
+        """Shards for which this controller may act now."""
+        if not self.leadership.acting(now):
+            return []
+        return [name for name, shard in self.held.items() if not shard.yielding]
+
+    def holder_of(self, shard: str) -> str | None:
+        """The node that holds a shard, as far as is known."""
+        item = self.mirror.items.get(r.HOLDER + shard)
+        return item.value.node if item and item.value is not None else None
+
+    def shard_in_use(self, shard: str) -> bool:
+        """There are machines or claims that need a holder."""
+        return bool(self.by_shard.get(shard)) or any(
+            shard in job.claims for job in self.jobs.values()
+        )
+
+    def gain_shard(self, shard: Shard) -> None:
+        """This controller holds a shard from now on: nothing is known of its machines yet."""
+        self.held[shard.name] = shard
+        machines = self.shard_machines(shard.name)
+        for machine in machines:
+            machine.reset(self.now)
+        shard.unknown = {m.name for m in machines}
+        if shard.unknown:
+            for job in self.jobs.values():
+                if bits := job.claimed(shard.name):
+                    job.limbo[shard.name] = bits
+        log.info("shard gained shard=%s term=%d machines=%d", shard.name, shard.term, len(machines))
+        self.quota.forget()
+        self.dirty = True
+
+    def lose_shard(self, name: str) -> None:
+        """Somebody else holds a shard, or nobody does."""
+        shard = self.held.pop(name, None)
+        if shard is None:
+            return
+        log.info("shard lost shard=%s term=%d", name, shard.term)
+        for machine in self.shard_machines(name):
+            for placement in machine.tasks.values():
+                if placement.job is not None:
+                    placement.job.remove(placement)
+            machine.reset(self.now)
+        for job in self.jobs.values():
+            job.limbo.pop(name, None)
+            job.stuck_at.pop(name, None)
+            job.fresh &= ~job.claims.get(name, 0)
+        self.quota.forget()
+
+    def machine_known(self, machine: Machine) -> None:
+        """A machine reported under the current token: its task list is complete."""
+        self.machine_resolved(machine)
+
+    def machine_resolved(self, machine: Machine) -> None:
+        """What an earlier holder may have left on this machine is known."""
+        shard = self.held.get(machine.record.shard)
+        if shard is None or machine.name not in shard.unknown:
+            return
+        shard.unknown.discard(machine.name)
+        self.quota.forget()
+        if not shard.unknown:
+            for job in self.jobs.values():
+                job.limbo.pop(shard.name, None)
+            self.dirty = True
+
+    def _halt_over(self) -> None:
+        """Tasks of jobs that are over, wherever they were seen."""
+        for machine in self.machines.values():
+            for placement in machine.tasks.values():
+                job = placement.job
+                if (
+                    job is not None
+                    and placement.live
+                    and self.jobs.get(job.id) is not job
+                    and placement.halt != 0.0
+                ):
+                    self.workers.halt(placement, 0.0, "job over")
+
+    def promised(self, shard: str) -> Room:
+        """Room of a shard's machines that its claimed but unplaced tasks will take."""
+        promised: Room = {}
+        machines = self.shard_machines(shard)
+        from sagecove.coordination.placement import plan
+        from sagecove.storage import taskset
+
+        for job in self.jobs.values():
+            bits = job.placeable(shard)
+            if bits:
+                indexes = list(taskset.members(taskset.lowest(bits, 200)))
+                plan(job, indexes, machines, self.random, promised)
+        return promised
+
+    # -- machines that nobody needs -------------------------------------------------------------
+
+    def _idle(self, now: float) -> None:
+        """Return machines that have been idle for long, but keep a little room for arrivals."""
+        for name in self.acting_shards(now):
+            idle: dict[tuple[str, bool], list[Machine]] = {}
+            for machine in self.shard_machines(name):
+                if not machine.empty or machine.record.leaving or machine.kind is None:
+                    continue
+                if machine.notice:
+                    self.workers.leave(machine, "spot notice")
+                    continue
+                idle.setdefault((machine.record.type, machine.record.spot), []).append(machine)
+            for machines in idle.values():
+                machines.sort(key=lambda m: -m.idle_since)
+                kind = machines[0].kind
+                assert kind is not None
+                keep = 1 if kind.gpus == 0 and not machines[0].record.spot else 0
+                patience = max(15.0, 0.8 * kind.boot_s)
+                for machine in machines[keep:]:
+                    age = self.wall() - machine.record.at
+                    if now - machine.idle_since > patience and age > 55.0:
+                        log.info("idle machine returned machine=%s", machine.name)
+                        self.workers.leave(machine, "idle")
+
+    # -- what is learned ------------------------------------------------------------------------
+
+    def learned(self, placement: Placement) -> None:
+        """A task completed: owners' estimates are wrong, so learn by how much, per class."""
+        job = placement.job
+        if job is None or job.spec.estimate_s <= 0 or not placement.running_at:
+            return
+        ratio = max(0.1, min(10.0, (self.now - placement.running_at) / job.spec.estimate_s))
+        old = self.class_run.get(job.spec.klass, 1.0)
+        self.class_run[job.spec.klass] = old + 0.05 * (ratio - old)
+
+    def expected(self, job: JobRun) -> float:
+        """Expected run time of a task, its image included."""
+        kind = next(iter(self.types.values()), None)
+        fetch = job.spec.image_gb / kind.fetch_gb_per_s if kind and kind.fetch_gb_per_s else 0.0
+        return job.spec.estimate_s * self.class_run.get(job.spec.klass, 1.0) + 0.5 * fetch
+
+    def finish_within(self, job: JobRun) -> float:
+        """How long a job may take from its submission, by its deadline or its class's aims."""
+        if job.spec.deadline_s is not None:
+            return job.spec.deadline_s
+        found = [
+            o.within_s
+            for o in self.settings.params.objectives
+            if o.klass == job.spec.klass and o.kind == "finished" and o.within_s
+        ]
+        return min(found) if found else 300.0
+
+    # -- peers ----------------------------------------------------------------------------------
+
+    def _hint(self, now: float) -> None:
+        if now < self.hint_at:
+            return
+        self.hint_at = now + 1.0
+        hungry: dict[str, tuple[str, int]] = {}
+        running: dict[str, int] = {}
+        for job in self.jobs.values():
+            count = sum(1 for p in job.placed.values() if p.state == "running")
+            if count:
+                running[job.id] = count
+            for shard in self.held:
+                lacking = job.placeable(shard)
+                if lacking and now - job.stuck_at.get(shard, now) > 0.4:
+                    hungry[job.id] = (shard, lacking.bit_count())
+                    self.hungry[job.id] = (shard, lacking.bit_count(), now)
+        hint = Hint(
+            self.settings.node,
+            self.now - self.synced_at < 2.0,
+            running,
+            hungry,
+            [m.name for m in self.machines.values() if m.known],
+            self.cancelled_lately,
+        )
+        self.cancelled_lately = []
+        for peer in self.settings.peers:
+            self.call(peer.addr, "POST", "/hint", hint, 1.0, lambda _status, _body: None)
+
+    def hint_cancel(self, job_id: str) -> None:
+        """Let the peers look for a cancellation before their watch tells them."""
+        self.cancelled_lately.append(job_id)
+        self.hint_at = min(self.hint_at, self.now)
+
+    def _peer(self, ask: Asked) -> None:
+        try:
+            hint = read_hint(ask.body)
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            self.effects.append(Reply(ask.exchange, 400, Refusal("unreadable")))
+            return
+        if hint.node in self.settings.nodes:
+            self.hints[hint.node] = (self.now, hint)
+            for job_id, (shard, count) in hint.hungry.items():
+                self.hungry[job_id] = (shard, count, self.now)
+            if any(job_id in self.jobs for job_id in hint.cancelled):
+                self.want_sync()
+        self.effects.append(Reply(ask.exchange, 200, {}))
+
+    def running_elsewhere(self, job_id: str) -> int:
+        """Running tasks of a job on other controllers' machines, for display."""
+        return sum(
+            hint.running.get(job_id, 0) for at, hint in self.hints.values() if self.now - at < 5.0
+        )
+
+    def heard_somewhere(self, machine: Machine) -> bool:
+        """A machine is up, as far as this controller can tell."""
+        if machine.known:
+            return True
+        if any(machine.name in h.heard for at, h in self.hints.values() if self.now - at < 5.0):
+            return True
+        boot = machine.kind.boot_s if machine.kind else 30.0
+        return self.wall() - machine.record.at > 3 * boot
--- /dev/null
+++ b/sagecove/coordination/placement.py
@@ -0,0 +1,158 @@
+"""Which machine a task goes to: random among the fitting ones of the best group.
+
+Pure functions over machines; callers pass room already promised to others as `promised`.
+"""
+
+from collections.abc import Iterable
+from random import Random
+
+from sagecove.coordination.model import EPS, JobRun, Machine
+from sagecove.protocol.cloud import MachineType
+from sagecove.protocol.users import Job
+
+Room = dict[str, list[float]]
+
+
+def type_allowed(spec: Job, kind: MachineType) -> bool:
+    """A task fits an empty machine of this type, and the job allows the type."""
+    return (
+        (spec.types is None or kind.name in spec.types)
+        and spec.cpus <= kind.cpus + EPS
+        and spec.gpus <= kind.gpus + EPS
+        and spec.memory_gb <= kind.memory_gb + EPS
+    )
+
+
+def machine_allowed(spec: Job, machine: Machine) -> bool:
+    """The job allows this machine at all."""
+    record = machine.record
+    return (
+        machine.kind is not None
+        and type_allowed(spec, machine.kind)
+        and (spec.zone is None or spec.zone == record.zone)
+        and (spec.spot or not record.spot)
+    )
+
+
+def slots(spec: Job, room: tuple[float, float, float]) -> int:
+    """How many tasks fit a room."""
+    count = 1 << 20
+    for have, need in zip(room, (spec.cpus, spec.gpus, spec.memory_gb), strict=True):
+        if need > 0:
+            count = min(count, int((have + EPS) / need)) if have > 0 else 0
+    return max(count, 0)
+
+
+def room_of(machine: Machine, promised: Room | None) -> tuple[float, float, float]:
+    """Free room less what is promised."""
+    cpus, gpus, memory = machine.free()
+    if promised and (held := promised.get(machine.name)):
+        return cpus - held[0], gpus - held[1], memory - held[2]
+    return cpus, gpus, memory
+
+
+def promise(promised: Room, machine: Machine, spec: Job) -> None:
+    """Count a planned task."""
+    held = promised.setdefault(machine.name, [0.0, 0.0, 0.0])
+    held[0] += spec.cpus
+    held[1] += spec.gpus
+    held[2] += spec.memory_gb
+
+
+def rank(job: JobRun, machine: Machine) -> tuple[int, int, int]:
+    """Groups of machines, best first: without GPUs the task has no use for, of the cheaper kind
+    where the job may use it, with its image."""
+    spec = job.spec
+    kind = machine.kind
+    assert kind is not None
+    waste = 1 if kind.gpus > 0 and spec.gpus == 0 else 0
+    wrong_kind = 0 if machine.record.spot == spec.spot else 1
+    return waste, 0 if spec.image in machine.images else 1, wrong_kind
+
+
+def zone_counts(job: JobRun) -> dict[str, int]:
+    """Where the job's tasks are, those on their way out included."""
+    counts: dict[str, int] = {}
+    for placement in job.placed.values():
+        if placement.live:
+            zone = placement.machine.record.zone
+            counts[zone] = counts.get(zone, 0) + 1
+    return counts
+
+
+def plan(
+    job: JobRun,
+    indexes: list[int],
+    machines: Iterable[Machine],
+    random: Random,
+    promised: Room,
+    packing: bool = False,
+) -> list[tuple[int, Machine]]:
+    """Machines for as many of the tasks as fit (for a gang: all or none).
+
+    What is planned is added to `promised`.
+    """
+    spec = job.spec
+    open_machines: list[tuple[Machine, int]] = []
+    for machine in machines:
+        if machine.open and machine_allowed(spec, machine):
+            count = slots(spec, room_of(machine, promised))
+            if count > 0:
+                open_machines.append((machine, count))
+    if not open_machines:
+        return []
+    counts = zone_counts(job)
+    if spec.one_zone:
+        if counts:
+            zones = [next(iter(counts))]
+        else:
+            per_zone: dict[str, int] = {}
+            for machine, count in open_machines:
+                zone = machine.record.zone
+                per_zone[zone] = per_zone.get(zone, 0) + count
+            most = max(per_zone.values())
+            zones = [z for z, c in per_zone.items() if c >= min(most, len(indexes))]
+            zones = [random.choice(sorted(zones))]
+        open_machines = [(m, c) for m, c in open_machines if m.record.zone in zones]
+    if job.gang and sum(c for _, c in open_machines) < len(indexes):
+        return []
+    cap = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
+    left = {machine.name: count for machine, count in open_machines}
+    ranked = sorted(((rank(job, m), m) for m, _ in open_machines), key=lambda pair: pair[0])
+    here: dict[str, int] = {}
+    if job.service:
+        for placement in job.placed.values():
+            here[placement.machine.name] = here.get(placement.machine.name, 0) + 1
+    planned: list[tuple[int, Machine]] = []
+    for index in indexes:
+        best: list[Machine] = []
+        best_rank: tuple[int, ...] | None = None
+        for order, machine in ranked:
+            name = machine.name
+            if left[name] <= 0 or counts.get(machine.record.zone, 0) >= cap:
+                continue
+            # A service's replicas on one machine fail together: spread them where there is room.
+            full = (order[0], here.get(name, 0), *order[1:]) if job.service else order
+            if best_rank is None or full < best_rank:
+                best, best_rank = [machine], full
+            elif full == best_rank:
+                best.append(machine)
+        if not best:
+            break
+        if packing and len(best) > 1:
+            fullest = min(room_of(m, promised)[0] for m in best)
+            best = [m for m in best if room_of(m, promised)[0] <= fullest + EPS]
+        machine = best[0] if len(best) == 1 else random.choice(best)
+        left[machine.name] -= 1
+        here[machine.name] = here.get(machine.name, 0) + 1
+        counts[machine.record.zone] = counts.get(machine.record.zone, 0) + 1
+        promise(promised, machine, spec)
+        planned.append((index, machine))
+    if job.gang and len(planned) < len(indexes):
+        for _, machine in planned:
+            held = promised[machine.name]
+            held[0] -= spec.cpus
+            held[1] -= spec.gpus
+            held[2] -= spec.memory_gb
+        return []
+    return planned
--- /dev/null
+++ b/sagecove/coordination/quota.py
@@ -0,0 +1,198 @@
+"""Team limits, split into allotments per shard.
+
+A shard places a task only inside its allotment, and the sum of a team's allotments never exceeds
+its limit, so no controller needs to know what another one runs.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sagecove.config import Team
+from sagecove.coordination.model import EPS, JobRun
+from sagecove.protocol.users import Job
+from sagecove.storage.records import QUOTA, QuotaRecord
+
+if TYPE_CHECKING:
+    from sagecove.coordination.owner import Owner
+
+Pair = tuple[float, float]
+
+
+class Quota:
+    """Arithmetic over the quota records."""
+
+    def __init__(self, owner: Owner) -> None:
+        self.owner = owner
+        self.teams: dict[str, Team] = {t.name: t for t in owner.settings.params.teams}
+        self.trimmed_at: dict[str, float] = {}
+        self.shrinking: dict[tuple[str, str], tuple[int, Pair]] = {}
+        self._used: dict[str, dict[str, list[float]]] = {}
+        self._claimed: dict[str, dict[str, list[float]]] = {}
+
+    def record(self, team: str) -> QuotaRecord:
+        """A team's allotments."""
+        item = self.owner.mirror.items.get(QUOTA + team)
+        return item.value if item and item.value is not None else QuotaRecord()
+
+    def forget(self) -> None:
+        """Tasks or claims have changed: count again when asked."""
+        self._used.clear()
+        self._claimed.clear()
+
+    def allotted(self, shard: str, team: str) -> Pair:
+        """A shard's allotment; while a reduction is on its way, already the reduced one."""
+        allot = self.record(team).shards.get(shard, (0.0, 0.0))
+        shrink = self.shrinking.get((shard, team))
+        if shrink is not None:
+            if shrink[0] == self.owner.mirror.stamp(QUOTA + team):
+                return min(allot[0], shrink[1][0]), min(allot[1], shrink[1][1])
+            del self.shrinking[shard, team]
+        return allot
+
+    def spare(self, team: str) -> Pair:
+        """What of the limit no shard has."""
+        limit = self.teams[team]
+        cpus, gpus = limit.cpus_max, limit.gpus_max
+        for have in self.record(team).shards.values():
+            cpus -= have[0]
+            gpus -= have[1]
+        return cpus, gpus
+
+    def used(self, shard: str, team: str) -> Pair:
+        """An upper bound of what a team's tasks take on a shard's machines."""
+        table = self._used.get(shard)
+        if table is None:
+            table = self._used[shard] = self._count_used(shard)
+        have = table.get(team, (0.0, 0.0))
+        anyone = table[""]
+        return have[0] + anyone[0], have[1] + anyone[1]
+
+    def _count_used(self, shard: str) -> dict[str, list[float]]:
+        table: dict[str, list[float]] = {"": [0.0, 0.0]}
+        owner = self.owner
+        unknown = owner.held[shard].unknown
+        for machine in owner.shard_machines(shard):
+            if machine.name in unknown or machine.murky:
+                # Whose tasks are here is not known yet: count all of the machine for every team.
+                kind = machine.kind
+                table[""][0] += kind.cpus if kind else 1e9
+                table[""][1] += kind.gpus if kind else 1e9
+                continue
+            for placement in machine.tasks.values():
+                if placement.live and placement.job is not None:
+                    spec = placement.job.spec
+                    have = table.setdefault(spec.team, [0.0, 0.0])
+                    have[0] += spec.cpus
+                    have[1] += spec.gpus
+        return table
+
+    def started(self, shard: str, spec: Job) -> None:
+        """A task was placed: count it without counting all again."""
+        if (table := self._used.get(shard)) is not None:
+            have = table.setdefault(spec.team, [0.0, 0.0])
+            have[0] += spec.cpus
+            have[1] += spec.gpus
+
+    def places(self, shard: str, spec: Job, wanted: int) -> int:
+        """How many more tasks of this kind a shard may start within its allotment."""
+        allot = self.allotted(shard, spec.team)
+        used = self.used(shard, spec.team)
+        return _count(spec, (allot[0] - used[0], allot[1] - used[1]), wanted)
+
+    def committed(self, shard: str, team: str) -> Pair:
+        """What all of a shard's claims of a team will take, or its tasks take if that is more."""
+        table = self._claimed.get(shard)
+        if table is None:
+            table = self._claimed[shard] = {}
+            for job in self.owner.jobs.values():
+                if bits := job.claimed(shard):
+                    count = bits.bit_count()
+                    have = table.setdefault(job.spec.team, [0.0, 0.0])
+                    have[0] += count * job.spec.cpus
+                    have[1] += count * job.spec.gpus
+        claimed = table.get(team, (0.0, 0.0))
+        used = self.used(shard, team)
+        return max(claimed[0], used[0]), max(claimed[1], used[1])
+
+    def claimable(self, shard: str, spec: Job, wanted: int) -> int:
+        """How many more tasks a shard may claim, its allotment grown by all that is spare."""
+        allot = self.allotted(shard, spec.team)
+        spare = self.spare(spec.team)
+        have = self.committed(shard, spec.team)
+        return _count(spec, (allot[0] + spare[0] - have[0], allot[1] + spare[1] - have[1]), wanted)
+
+    def grown(self, shard: str, spec: Job, more: int) -> QuotaRecord | None:
+        """The record that lets a shard claim `more` tasks; None if its allotment suffices.
+
+        Far from the limit it grows in coarse steps, to save writes; near it by the need alone.
+        """
+        team = spec.team
+        allot = self.allotted(shard, team)
+        have = self.committed(shard, team)
+        spare = self.spare(team)
+        nodes = len(self.owner.settings.nodes)
+        new = []
+        for n, need in enumerate((spec.cpus, spec.gpus)):
+            target = have[n] + more * need
+            if target <= allot[n] + EPS:
+                new.append(allot[n])
+                continue
+            growth = target - allot[n]
+            step = (spare[n] - growth) / (2 * nodes)
+            new.append(allot[n] + growth + max(0.0, step))
+        if new[0] == allot[0] and new[1] == allot[1]:
+            return None
+        shards = dict(self.record(team).shards)
+        if new[0] - allot[0] > spare[0] + EPS or new[1] - allot[1] > spare[1] + EPS:
+            return None
+        shards[shard] = (_floor(new[0]), _floor(new[1]))
+        return QuotaRecord(shards)
+
+    def trims(self, now: float) -> list[tuple[str, str, QuotaRecord]]:
+        """Allotments to give back because the team is near its limit: (team, shard, record)."""
+        out = []
+        for team, limit in self.teams.items():
+            spare = self.spare(team)
+            tight = spare[0] < 0.25 * limit.cpus_max or (
+                limit.gpus_max > 0 and spare[1] < 0.25 * limit.gpus_max
+            )
+            if not tight or now - self.trimmed_at.get(team, -1e9) < 2.0:
+                continue
+            for shard in self.owner.acting_shards(now):
+                allot = self.allotted(shard, team)
+                have = self.committed(shard, team)
+                if allot[0] - have[0] > 0.01 or allot[1] - have[1] > 0.01:
+                    shards = dict(self.record(team).shards)
+                    shards[shard] = (min(allot[0], have[0]), min(allot[1], have[1]))
+                    if shards[shard] == (0.0, 0.0):
+                        del shards[shard]
+                    self.trimmed_at[team] = now
+                    out.append((team, shard, QuotaRecord(shards)))
+        return out
+
+    def assign_guarantees(self, jobs: list[JobRun]) -> None:
+        """Mark the jobs that fit their team's guarantee together with its earlier jobs."""
+        taken: dict[str, list[float]] = {}
+        for job in sorted(jobs, key=lambda j: (j.at, j.id)):
+            spec = job.spec
+            team = self.teams.get(spec.team)
+            if team is None:
+                job.within = False
+                continue
+            have = taken.setdefault(spec.team, [0.0, 0.0])
+            have[0] += spec.cpus * spec.tasks
+            have[1] += spec.gpus * spec.tasks
+            job.within = have[0] <= team.cpus + EPS and have[1] <= team.gpus + EPS
+
+
+def _count(spec: Job, room: Pair, wanted: int) -> int:
+    count = wanted
+    for have, need in ((room[0], spec.cpus), (room[1], spec.gpus)):
+        if need > 0:
+            count = min(count, int((have + EPS) / need) if have > 0 else 0)
+    return max(0, count)
+
+
+def _floor(amount: float) -> float:
+    return int(amount * 1000 + 1e-3) / 1000
--- /dev/null
+++ b/sagecove/coordination/users.py
@@ -0,0 +1,293 @@
+"""Submissions, polls and cancellations.
+
+`done` and `aborted` never change, so they may be told from memory. Everything else, and every
+404, rests on a read of the state service begun after the request arrived; one read serves all
+requests that wait.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from sagecove.coordination.effects import Reply
+from sagecove.coordination.model import JobRun
+from sagecove.coordination.placement import type_allowed
+from sagecove.protocol import state as wire
+from sagecove.protocol import users as u
+from sagecove.protocol.state import Pair
+from sagecove.storage import taskset
+from sagecove.storage.records import HOLDER, JOB, OVER, JobRecord, OverRecord
+from sagecove.storage.store import Outcome, Result, decode
+
+if TYPE_CHECKING:
+    from sagecove.coordination.owner import Owner
+
+log = logging.getLogger("sagecove.users")
+
+FINALS_KEPT = 20_000
+
+
+class Users:
+    """Answers to users."""
+
+    def __init__(self, owner: Owner) -> None:
+        self.owner = owner
+        # Final states, bounded; what fell out is read again.
+        self.finals: OrderedDict[str, tuple[str, int]] = OrderedDict()
+        # Requests that wait for a read: (arrived, kind, job id, exchange).
+        self.waiting: list[tuple[float, str, str, Any]] = []
+        self.reading: dict[str, list[tuple[str, Any]]] = {}
+        self.submitting: dict[str, list[Any]] = {}
+
+    # -- answers --------------------------------------------------------------------------------
+
+    def _reply(self, exchange: Any, status: int, body: Any, retry: float | None = None) -> None:
+        self.owner.effects.append(Reply(exchange, status, body, retry))
+
+    def later(self, exchange: Any, why: str, retry: float = 1.0) -> None:
+        """The service can't answer now: say so at once, and when to come back."""
+        self._reply(exchange, 503, u.Refusal(why), retry)
+
+    def final(self, job_id: str, state: str, tasks: int) -> None:
+        """Remember a final state."""
+        self.finals[job_id] = (state, tasks)
+        self.finals.move_to_end(job_id)
+        if len(self.finals) > FINALS_KEPT:
+            self.finals.popitem(last=False)
+
+    def _tell_final(self, kind: str, job_id: str, exchange: Any) -> None:
+        state, tasks = self.finals[job_id]
+        if kind == "status":
+            done = tasks if state == u.DONE else 0
+            self._reply(exchange, 200, u.Status(job_id, state, done, 0))
+        else:
+            self._reply(exchange, 200, u.Status(job_id, state))
+
+    def _tell_live(self, kind: str, job: JobRun, exchange: Any) -> None:
+        owner = self.owner
+        done = (job.fin | job.fresh).bit_count()
+        running = sum(1 for p in job.placed.values() if p.state == "running")
+        running += owner.running_elsewhere(job.id)
+        state = u.RUNNING if running else u.PENDING
+        if kind == "status":
+            self._reply(exchange, 200, u.Status(job.id, state, done, running))
+        else:
+            self._reply(exchange, 200, u.Status(job.id, state))
+
+    # -- requests -------------------------------------------------------------------------------
+
+    def submit(self, body: bytes, exchange: Any) -> None:
+        """POST a job."""
+        owner = self.owner
+        try:
+            job = u.read_job(body)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            self._reply(exchange, 400, u.Refusal(str(error)[:300]))
+            return
+        if job.id in self.finals:
+            self._tell_final("submit", job.id, exchange)
+            return
+        if job.id in owner.jobs:
+            self.await_read("submit", job.id, exchange)
+            return
+        if not owner.mirror.loaded or not owner.types:
+            self.later(exchange, "the machine types are not known yet")
+            return
+        if not owner.connected():
+            self.later(exchange, "the state service does not answer", owner.retry_hint())
+            return
+        reason = self.impossible(job)
+        if reason is not None:
+            # A job that was accepted under other circumstances must not be refused now.
+            self.await_read("refuse:" + reason, job.id, exchange)
+            return
+        if job.id in self.submitting:
+            self.submitting[job.id].append(exchange)
+            return
+        if len(owner.store.waiting) > 100:
+            self.later(exchange, "too many requests at once", 2.0)
+            return
+        self._store(job, exchange)
+
+    def impossible(self, job: u.Job) -> str | None:
+        """Why a job can never run, if it can't."""
+        owner = self.owner
+        team = owner.quota.teams.get(job.team)
+        if team is None:
+            return f"unknown team {job.team}"
+        fitting = [
+            t
+            for t in owner.types.values()
+            if type_allowed(job, t) and (job.zone is None or job.zone in t.zones)
+        ]
+        if not fitting:
+            return "a task fits no allowed machine type"
+        count = 1 if job.kind == u.ARRAY else job.tasks
+        if count * job.cpus > team.cpus_max + 1e-6 or count * job.gpus > team.gpus_max + 1e-6:
+            return f"needs more than the limit of team {job.team}"
+        return None
+
+    def _store(self, spec: u.Job, exchange: Any) -> None:
+        """Write a submission; where it fits this controller's free room, claimed already."""
+        owner = self.owner
+        job_id = spec.id
+        self.submitting[job_id] = [exchange]
+        record = JobRecord(spec, owner.wall())
+        conditions = [(JOB + job_id, 0), (OVER + job_id, 0)]
+        changes: list[wire.Put | wire.Drop] = [wire.Put(JOB + job_id, record)]
+        claimed = self._claim_now(JobRun(record, 0))
+        if claimed is not None:
+            changes, more = claimed
+            conditions += more
+
+        def done(result: Result) -> None:
+            if result.outcome is Outcome.CONFLICT and claimed is not None:
+                mine = (JOB + job_id, OVER + job_id)
+                if not any(key in mine for key in result.failed):
+                    owner.commit(
+                        conditions[:2], [wire.Put(JOB + job_id, record)], stored, urgent=True
+                    )
+                    return
+            stored(result)
+
+        def stored(result: Result) -> None:
+            waiters = self.submitting.pop(job_id, [])
+            if result.outcome is Outcome.DONE:
+                log.info(
+                    "accepted job=%s team=%s class=%s tasks=%d",
+                    job_id,
+                    spec.team,
+                    spec.klass,
+                    spec.tasks,
+                )
+                for waiter in waiters[:1]:
+                    self._reply(waiter, 201, u.Status(job_id, u.PENDING))
+                for waiter in waiters[1:]:
+                    self._reply(waiter, 200, u.Status(job_id, u.PENDING))
+            elif result.outcome is Outcome.CONFLICT:
+                for waiter in waiters:
+                    self.await_read("submit", job_id, waiter)
+            else:
+                for waiter in waiters:
+                    self.later(waiter, "the state service does not answer", owner.retry_hint())
+
+        owner.commit(conditions, changes, done, urgent=True)
+
+    def _claim_now(
+        self, job: JobRun
+    ) -> tuple[list[wire.Put | wire.Drop], list[tuple[str, int]]] | None:
+        owner = self.owner
+        node = owner.settings.node
+        shard = owner.held.get(node)
+        if shard is None or node not in owner.acting_shards(owner.now):
+            return None
+        machines = owner.shard_machines(node)
+        promised = owner.promised(node)
+        count = owner.claims.fitting(job, node, machines, promised)
+        if not count or (job.whole and count < job.spec.tasks):
+            return None
+        bits = taskset.lowest(job.every, count)
+        changes, conditions = owner.claims.claim_changes(job.spec.team, shard, job, bits)
+        return changes, [*conditions, (HOLDER + node, shard.term)]
+
+    def status(self, job_id: str, exchange: Any) -> None:
+        """GET a job."""
+        self.await_read("status", job_id, exchange)
+
+    def cancel(self, job_id: str, exchange: Any) -> None:
+        """Cancel a job."""
+        self.await_read("cancel", job_id, exchange)
+
+    # -- reads ----------------------------------------------------------------------------------
+
+    def await_read(self, kind: str, job_id: str, exchange: Any) -> None:
+        """Answer from memory if the state is final, else after a read begun from now on."""
+        owner = self.owner
+        if not u.JOB_ID.match(job_id):
+            self._reply(exchange, 404, u.Refusal("no such job"))
+        elif job_id in self.finals:
+            self._tell_final(kind, job_id, exchange)
+        elif not owner.connected():
+            self.later(exchange, "the state service does not answer", owner.retry_hint())
+        elif len(self.waiting) > 2000:
+            self.later(exchange, "too many requests at once", 2.0)
+        else:
+            self.waiting.append((owner.now, kind, job_id, exchange))
+            owner.want_sync()
+
+    def read_done(self, begun: float, good: bool) -> None:
+        """A read of all changes begun at `begun` has ended."""
+        owner = self.owner
+        ready = [entry for entry in self.waiting if entry[0] <= begun or not good]
+        if not ready:
+            return
+        self.waiting = [e for e in self.waiting if e[0] > begun] if good else []
+        for _, kind, job_id, exchange in ready:
+            if not good:
+                self.later(exchange, "the state service does not answer", owner.retry_hint())
+            elif (job := owner.jobs.get(job_id)) is not None:
+                if kind == "cancel":
+                    self._cancel(job, exchange)
+                else:
+                    self._tell_live(kind, job, exchange)
+            elif job_id in self.finals:
+                self._tell_final(kind, job_id, exchange)
+            else:
+                self._read_final(kind, job_id, exchange)
+
+    def _read_final(self, kind: str, job_id: str, exchange: Any) -> None:
+        """Not live: over, or never accepted."""
+        owner = self.owner
+        waiters = self.reading.setdefault(job_id, [])
+        waiters.append((kind, exchange))
+        if len(waiters) > 1:
+            return
+
+        def done(status: int | None, body: bytes) -> None:
+            waiters = self.reading.pop(job_id, [])
+            pair = decode(body, Pair) if status == 200 else None
+            if pair is not None:
+                try:
+                    over = msgspec.convert(pair.value, OverRecord)
+                except msgspec.ValidationError:
+                    status = None
+                else:
+                    self.final(job_id, over.state, over.tasks)
+            for kind, exchange in waiters:
+                if job_id in self.finals:
+                    self._tell_final(kind, job_id, exchange)
+                elif status != 404:
+                    self.later(exchange, "the state service does not answer")
+                elif kind.startswith("refuse:"):
+                    self._reply(exchange, 422, u.Refusal(kind[7:]))
+                elif kind == "submit":
+                    self.later(exchange, "try again")
+                else:
+                    self._reply(exchange, 404, u.Refusal("no such job"))
+
+        owner.store.read(owner.now, OVER + job_id, done)
+
+    def _cancel(self, job: JobRun, exchange: Any) -> None:
+        owner = self.owner
+        key = JOB + job.id
+        changes: list[wire.Put | wire.Drop] = [
+            wire.Drop(key),
+            wire.Put(OVER + job.id, OverRecord(u.CANCELLED, job.spec.tasks)),
+        ]
+
+        def done(result: Result) -> None:
+            if result.outcome is Outcome.DONE:
+                log.info("cancelled job=%s", job.id)
+                owner.hint_cancel(job.id)
+                self._reply(exchange, 200, u.Status(job.id, u.CANCELLED))
+            elif result.outcome is Outcome.CONFLICT:
+                # The record moved on meanwhile: look again.
+                self.await_read("cancel", job.id, exchange)
+            else:
+                self.later(exchange, "the state service does not answer", owner.retry_hint())
+
+        owner.commit([(key, job.stamp)], changes, done, urgent=True)
--- /dev/null
+++ b/sagecove/coordination/workers.py
@@ -0,0 +1,481 @@
+"""Dealings with workers: reports, tokens, orders, direct commands, silent machines.
+
+What makes a task provably gone from a machine:
+- a report newer than its launch shows it exited, or does not show it while no launch of it can
+  still arrive;
+- the worker has begun a later session;
+- the machine was deleted (its record is gone), or its worker's lease has surely run out.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from sagecove.coordination.effects import Reply
+from sagecove.coordination.model import SENT, JobRun, Machine, Placement
+from sagecove.protocol import workers as w
+from sagecove.protocol.users import Refusal
+from sagecove.storage.records import MachineRecord
+from sagecove.storage.store import Outcome, Result, decode
+
+if TYPE_CHECKING:
+    from sagecove.coordination.owner import Owner
+
+log = logging.getLogger("sagecove.workers")
+
+Answer = Callable[[int | None, bytes], None]
+
+
+def split_task(task: str) -> tuple[str, int]:
+    """Job id and number of a task's name; number -1 if it is none."""
+    job, _, number = task.rpartition("/")
+    return (job, int(number)) if number.isdecimal() and len(number) < 7 else (task, -1)
+
+
+class Workers:
+    """Reports in, orders out."""
+
+    def __init__(self, owner: Owner) -> None:
+        self.owner = owner
+        pace = owner.settings.params.workers
+        self.pace = pace
+        drift = 1 + owner.settings.drift
+        # After the last answer, a worker's lease has run out for sure (half a report for clocks'
+        # steps and the way of the packets).
+        self.lease_over = pace.lease_s * drift + pace.report_s / 2
+        # Silence that is taken for a dead machine; a worker cut off may take 4 s a node to return.
+        self.silent = max(3 * pace.report_s, pace.lease_s / 3)
+        self.call_s = 4.0
+        self.adopting: set[str] = set()
+        self.gone: dict[str, float] = {}
+        self.failed_jobs: dict[str, float] = {}
+
+    # -- reports --------------------------------------------------------------------------------
+
+    def report(self, body: bytes, exchange: object) -> None:
+        """A worker reports."""
+        owner = self.owner
+        try:
+            report = w.read_report(body)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            owner.effects.append(Reply(exchange, 400, Refusal(str(error)[:200])))
+            return
+        now = owner.now
+        machine = owner.machines.get(report.machine)
+        if machine is None:
+            self._adopt(report)
+            owner.effects.append(Reply(exchange, 503, Refusal("machine unknown as yet")))
+            return
+        shard = owner.held.get(machine.record.shard)
+        if shard is None or shard.yielding or not owner.leadership.acting(now):
+            holder = owner.holder_of(machine.record.shard)
+            if holder is not None and holder != owner.settings.node:
+                owner.effects.append(Reply(exchange, 421, w.Redirect(holder)))
+            else:
+                owner.effects.append(Reply(exchange, 503, Refusal("no authority at the moment")))
+            return
+        token = max(shard.term, machine.stamp)
+        if not self._newer(machine, report.session, report.seq):
+            # Held back on its way; its worker has long stopped waiting for this answer.
+            owner.effects.append(Reply(exchange, 503, Refusal("report is out of date")))
+            return
+        self.read(machine, report, token, hello=True)
+        machine.answered_at = now
+        orders = self.orders(machine, report.seq) if machine.known else []
+        owner.effects.append(Reply(exchange, 200, w.Answer(token, orders)))
+        machine.urgent = False
+
+    def _newer(self, machine: Machine, session: int, seq: int) -> bool:
+        return session > machine.over_session and (session, seq) > (machine.session, machine.seq)
+
+    def _adopt(self, report: w.Report) -> None:
+        """A machine that reports and has no record: take it into a shard."""
+        owner = self.owner
+        name = report.machine
+        node = owner.settings.node
+        shard = owner.held.get(node)
+        if (
+            name in self.adopting
+            or shard is None
+            or shard.yielding
+            or not owner.leadership.acting(owner.now)
+            or name in self.gone
+        ):
+            return
+        self.adopting.add(name)
+        record = MachineRecord(
+            report.type, report.zone, report.spot, node, report.addr, owner.wall()
+        )
+        owner.put_machine(name, record, 0, shard, lambda _: self.adopting.discard(name))
+
+    def read(self, machine: Machine, report: w.Report, token: int, hello: bool) -> None:
+        """Take in a report's task list. The report is newer than all seen of this machine."""
+        owner = self.owner
+        now = owner.now
+        if report.session > machine.session:
+            if machine.session:
+                log.info("session over machine=%s session=%d", machine.name, report.session)
+            self.forget_tasks(machine)
+        machine.session, machine.seq = report.session, report.seq
+        machine.brand = report.token
+        machine.addr = report.addr
+        machine.heard_at = now
+        machine.ever_heard = True
+        if report.notice_s is not None and not machine.notice:
+            log.info("spot notice machine=%s", machine.name)
+            machine.notice = True
+        if report.token < token:
+            return
+        first = not machine.known
+        machine.known = True
+        seen: set[str] = set()
+        strays: dict[tuple[str, int], str] = {}
+        for hand in report.tasks:
+            placement = machine.tasks.get(hand.task)
+            if placement is None or placement.attempt != hand.attempt:
+                adopted = self._recognize(machine, hand) if placement is None else None
+                if adopted is None:
+                    strays[hand.task, hand.attempt] = hand.state
+                    continue
+                placement = adopted
+            seen.add(hand.task)
+            self._observe(machine, placement, hand)
+        for task, placement in list(machine.tasks.items()):
+            if placement.doubt_token >= 0 and report.token > placement.doubt_token:
+                placement.doubt_token = -1
+            if task in seen:
+                continue
+            if placement.state == SENT:
+                gone = (
+                    placement.halt is not None
+                    and not placement.in_flight
+                    and hello
+                    and report.seq > placement.answered_seq
+                )
+            else:
+                gone = not placement.in_flight
+            if gone:
+                self.drop(machine, placement)
+        if machine.strays or strays:
+            owner.quota.forget()
+        machine.strays = strays
+        if first:
+            owner.machine_known(machine)
+        owner.dirty = True
+
+    def _recognize(self, machine: Machine, hand: w.Hand) -> Placement | None:
+        """A reported task that this process did not place: one of an earlier holder?"""
+        job_id, index = split_task(hand.task)
+        job = self.owner.jobs.get(job_id)
+        if job is None or index < 0:
+            return None
+        if not job.claims.get(machine.record.shard, 0) >> index & 1:
+            return None
+        if index in job.placed:
+            return None
+        if hand.state == w.EXITED and hand.why != w.WHY_DONE:
+            return None
+        placement = Placement(job, index, hand.task, hand.attempt, machine)
+        placement.started_at = self.owner.now
+        machine.tasks[hand.task] = placement
+        machine.take(job.spec, 1)
+        job.add(placement)
+        if (limbo := job.limbo.get(machine.record.shard)) is not None:
+            job.limbo[machine.record.shard] = limbo & ~(1 << index)
+        if job.gang and job.attempt != hand.attempt:
+            if len(job.placed) > 1:
+                job.failing = True
+            job.attempt = max(job.attempt, hand.attempt)
+        self.owner.quota.forget()
+        return placement
+
+    def _observe(self, machine: Machine, placement: Placement, hand: w.Hand) -> None:
+        owner = self.owner
+        before = placement.state
+        placement.state = hand.state
+        if before == hand.state:
+            return
+        owner.quota.forget()
+        job = placement.job
+        assert job is not None
+        if hand.state in (w.TASK_RUNNING, w.WAITING) and job.spec.image not in machine.images:
+            machine.images[job.spec.image] = job.spec.image_gb
+            self._evict(machine)
+        if hand.state == w.TASK_RUNNING and not placement.running_at:
+            placement.running_at = owner.now
+        if hand.state != w.EXITED:
+            return
+        machine.take(job.spec, -1)
+        placement.why = hand.why
+        job.remove(placement)
+        if hand.why == w.WHY_DONE:
+            owner.learned(placement)
+            machine.errors.clear()
+            if job.gang:
+                # All tasks of a gang complete together.
+                job.fresh |= job.every & ~job.fin
+            else:
+                job.fresh |= (1 << placement.index) & ~job.fin
+        else:
+            if hand.why != w.WHY_STOPPED:
+                log.info(
+                    "task ended task=%s attempt=%d machine=%s why=%s",
+                    hand.task,
+                    hand.attempt,
+                    machine.name,
+                    hand.why,
+                )
+            if hand.why == w.WHY_ERROR:
+                self._failed(machine, job)
+            elif hand.why in (w.WHY_FULL, w.WHY_BUSY, w.WHY_UNKNOWN):
+                job.hold_until = max(job.hold_until, owner.now + self.pace.report_s)
+            if job.gang:
+                job.failing = True
+        if not machine.tasks:
+            machine.idle_since = owner.now
+
+    def _evict(self, machine: Machine) -> None:
+        size = machine.kind.cache_gb if machine.kind else 0.0
+        while len(machine.images) > 1 and sum(machine.images.values()) > size:
+            machine.images.popitem(last=False)
+
+    def _failed(self, machine: Machine, job: JobRun) -> None:
+        """Tell faulty machines from faulty jobs: by whether others fail too."""
+        owner = self.owner
+        job.errors[machine.name] = owner.now
+        job.hold_until = max(job.hold_until, owner.now + 0.5 * len(job.errors))
+        if len(job.errors) >= 3:
+            # It fails everywhere: the machines are not to blame.
+            for name in job.errors:
+                other = owner.machines.get(name)
+                if other is not None:
+                    other.errors.pop(job.id, None)
+                    other.sick = other.sick and len(other.errors) >= 2
+            job.hold_until = owner.now + min(60.0, 2.0 * len(job.errors))
+            return
+        machine.errors[job.id] = owner.now
+        if len(machine.errors) >= 2 and not machine.sick:
+            machine.sick = True
+            log.info("machine fails its tasks machine=%s", machine.name)
+
+    # -- gone -----------------------------------------------------------------------------------
+
+    def drop(self, machine: Machine, placement: Placement) -> None:
+        """A task is provably gone from its machine."""
+        if machine.tasks.get(placement.task) is placement:
+            del machine.tasks[placement.task]
+        job = placement.job
+        if placement.live and job is not None:
+            machine.take(job.spec, -1)
+            job.remove(placement)
+            if job.gang and placement.state != SENT:
+                job.failing = True
+        if not machine.tasks:
+            machine.idle_since = self.owner.now
+        self.owner.quota.forget()
+        self.owner.dirty = True
+
+    def forget_tasks(self, machine: Machine) -> None:
+        """All tasks of a session are gone."""
+        for placement in list(machine.tasks.values()):
+            self.drop(machine, placement)
+        machine.strays = {}
+        machine.used = [0.0, 0.0, 0.0]
+
+    def tick(self, now: float) -> None:
+        """Resolve machines whose lease has surely run out, and ask to delete the silent ones."""
+        owner = self.owner
+        for name, at in list(self.gone.items()):
+            if now - at > 600:
+                del self.gone[name]
+        for shard in list(owner.held.values()):
+            machines = owner.shard_machines(shard.name)
+            quiet = [m for m in machines if now - m.heard_at > self.silent and m.ever_heard]
+            for machine in machines:
+                last = max(machine.answered_at, shard.since)
+                if now - last > self.lease_over and (
+                    machine.tasks or machine.strays or machine.name in shard.unknown
+                ):
+                    log.info("worker lease over machine=%s", machine.name)
+                    machine.over_session = max(machine.over_session, machine.session)
+                    machine.known = False
+                    self.forget_tasks(machine)
+                    owner.machine_resolved(machine)
+            if not owner.leadership.acting(now) or shard.yielding:
+                continue
+            # When many fall silent at once, the fault is more likely on this side.
+            if len(quiet) > max(2, len(machines) // 4):
+                continue
+            for machine in quiet:
+                if (
+                    now - max(machine.heard_at, shard.since) > self.silent
+                    and not machine.record.leaving
+                    and now - machine.elsewhere_at > self.silent
+                ):
+                    log.info("silent machine to be deleted machine=%s", machine.name)
+                    self.leave(machine, "silent")
+        for machine in owner.machines.values():
+            if (
+                machine.sick
+                and not machine.record.leaving
+                and machine.record.shard in owner.held
+                and machine.empty
+            ):
+                self.leave(machine, "sick")
+
+    def leave(self, machine: Machine, reason: str) -> None:
+        """Hand a machine to the provisioner for deletion. Nothing is placed on it any more."""
+        owner = self.owner
+        shard = owner.held.get(machine.record.shard)
+        if shard is None or shard.yielding or machine.committing:
+            return
+        old = machine.record
+        record = msgspec.structs.replace(old, leaving=reason)
+        machine.committing = True
+
+        def done(result: Result) -> None:
+            machine.committing = False
+
+        owner.put_machine(machine.name, record, machine.stamp, shard, done)
+
+    # -- orders ---------------------------------------------------------------------------------
+
+    def reapable(self, placement: Placement) -> bool:
+        """The worker may forget it: no copy of its launch is under way, its result is durable."""
+        if placement.state != w.EXITED or placement.in_flight:
+            return False
+        job = placement.job
+        if placement.why != w.WHY_DONE or job is None or job.id not in self.owner.jobs:
+            return True
+        return bool(job.fin >> placement.index & 1)
+
+    def orders(self, machine: Machine, seq: int | None) -> list[w.Order]:
+        """What the worker should do now. `seq`: the report this answers; None: sent directly."""
+        owner = self.owner
+        out: list[w.Order] = []
+        launches: list[w.Order] = []
+        for placement in machine.tasks.values():
+            if placement.state == w.EXITED:
+                if self.reapable(placement):
+                    out.append(w.Order(w.REAP, placement.task, placement.attempt))
+            elif placement.halt is not None:
+                if placement.state == SENT:
+                    continue
+                if placement.state != w.SAVING or placement.halt == 0:
+                    out.append(w.Order(w.HALT, placement.task, placement.attempt, placement.halt))
+            elif placement.state == SENT and placement.job is not None:
+                if placement.job.id not in owner.jobs:
+                    continue
+                launches.append(w.Order(w.LAUNCH, placement.task, placement.attempt))
+                if seq is not None:
+                    placement.answered_seq = seq
+                else:
+                    placement.open_calls += 1
+        for (task, attempt), state in machine.strays.items():
+            if state == w.EXITED:
+                out.append(w.Order(w.REAP, task, attempt))
+            else:
+                out.append(w.Order(w.HALT, task, attempt, 0.0))
+        # Bounded, so that an answer stays far below the protocol's 64 KiB.
+        return out[:200] + launches[: 400 - len(out[:200])]
+
+    def flush(self, now: float) -> None:
+        """Send urgent orders straight to the workers; the next report's answer repeats them."""
+        owner = self.owner
+        if not owner.leadership.acting(now):
+            return
+        for machine in owner.machines.values():
+            if not machine.urgent:
+                continue
+            shard = owner.held.get(machine.record.shard)
+            if shard is None or shard.yielding or not machine.known or not machine.addr:
+                machine.urgent = False
+                continue
+            if machine.calling:
+                continue
+            machine.urgent = False
+            launched = [p for p in machine.tasks.values() if p.state == SENT and p.halt is None]
+            before = {p.task: p.open_calls for p in launched}
+            orders = self.orders(machine, None)
+            carried = [p for p in launched if p.open_calls > before[p.task]]
+            if not orders:
+                continue
+            token = max(shard.term, machine.stamp)
+            machine.calling += 1
+            owner.call(
+                machine.addr,
+                "POST",
+                "/commands",
+                w.Direct(token, machine.session, orders),
+                self.call_s,
+                self._told(machine, carried, token),
+            )
+
+    def _told(self, machine: Machine, carried: list[Placement], token: int) -> Answer:
+        def done(status: int | None, body: bytes) -> None:
+            owner = self.owner
+            machine.calling -= 1
+            sure = status in (200, 409, 400, 0)
+            for placement in carried:
+                placement.open_calls -= 1
+                if not sure:
+                    # It may be executed late, until the worker has seen a higher token.
+                    placement.doubt_token = max(placement.doubt_token, token)
+            if status not in (200, 409) or owner.machines.get(machine.name) is not machine:
+                return
+            report = decode(body, w.Report)
+            shard = owner.held.get(machine.record.shard)
+            if report is None or shard is None or report.machine != machine.name:
+                return
+            if self._newer(machine, report.session, report.seq):
+                self.read(machine, report, max(shard.term, machine.stamp), hello=False)
+
+        return done
+
+    def raise_tokens(self) -> None:
+        """Where a lost direct launch stands in the way, make its token stale: write the record."""
+        owner = self.owner
+        for machine in owner.machines.values():
+            if machine.committing or not machine.tasks:
+                continue
+            shard = owner.held.get(machine.record.shard)
+            if shard is None or shard.yielding:
+                continue
+            token = max(shard.term, machine.stamp)
+            for placement in machine.tasks.values():
+                if placement.doubt_token >= token and (
+                    placement.state == w.EXITED or placement.halt is not None
+                ):
+                    machine.committing = True
+
+                    def done(result: Result, machine: Machine = machine) -> None:
+                        machine.committing = False
+                        if result.outcome is Outcome.DONE:
+                            log.info("token raised machine=%s", machine.name)
+
+                    owner.put_machine(machine.name, machine.record, machine.stamp, shard, done)
+                    break
+
+    def halt(self, placement: Placement, grace: float, reason: str) -> None:
+        """Stop a task; a second, stricter call shortens its grace."""
+        if placement.state == w.EXITED:
+            return
+        if placement.halt is not None and placement.halt <= grace:
+            return
+        if placement.halt is None:
+            placement.halted_at = self.owner.now
+            log.info(
+                "stop task=%s attempt=%d machine=%s for=%s",
+                placement.task,
+                placement.attempt,
+                placement.machine.name,
+                reason,
+            )
+        placement.halt = grace
+        placement.for_whom = reason
+        placement.machine.urgent = True
+        self.owner.dirty = True
--- /dev/null
+++ b/sagecove/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages as they stand on the wire, and their validation."""
--- /dev/null
+++ b/sagecove/protocol/users.py
@@ -0,0 +1,87 @@
+"""Messages between users and controllers."""
+
+import re
+from typing import Annotated
+
+import msgspec
+
+JOB_ID = re.compile(r"run-[A-Za-z0-9_.-]{1,100}\Z")
+
+Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+ARRAY, GANG, SERVICE = "sweep", "ensemble", "service"
+PENDING, RUNNING, DONE, CANCELLED = "pending", "running", "done", "aborted"
+PRIORITIES = {"production": 3, "urgent": 2, "normal": 1, "low": 0}
+
+
+class Job(
+    msgspec.Struct,
+    rename={
+        "id": "nameId",
+        "klass": "herd",
+        "team": "outfit",
+        "kind": "shape",
+        "priority": "rank",
+        "tasks": "hands",
+        "cpus": "vcpus",
+        "gpus": "cards",
+        "memory_gb": "memoryGb",
+        "image": "bundle",
+        "image_gb": "sizeGb",
+        "types": "breeds",
+        "zone": "range",
+        "one_zone": "samePlace",
+        "spread": "scatter",
+        "spot": "borrowed",
+        "estimate_s": "reckonS",
+        "checkpoint_s": "waypointS",
+        "save_s": "stashS",
+        "deadline_s": "dueS",
+    },
+    frozen=True,
+):
+    """A job as submitted."""
+
+    id: Annotated[str, msgspec.Meta(pattern=r"^run-[A-Za-z0-9_.-]{1,100}$")]
+    klass: Name
+    team: Name
+    kind: Annotated[str, msgspec.Meta(pattern="^(sweep|ensemble|service)$")]
+    priority: Annotated[str, msgspec.Meta(pattern="^(production|urgent|normal|low)$")]
+    tasks: Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+    cpus: Amount
+    gpus: Amount
+    memory_gb: Amount
+    image: Name
+    image_gb: Amount
+    one_zone: bool
+    spread: bool
+    spot: bool
+    estimate_s: Amount
+    checkpoint_s: Amount
+    save_s: Amount
+    types: list[Name] | None = None
+    zone: Name | None = None
+    deadline_s: Amount | None = None
+
+
+class Status(
+    msgspec.Struct,
+    rename={"id": "nameId", "state": "standing"},
+    omit_defaults=True,
+):
+    """An answer about a job."""
+
+    id: str
+    state: str
+    done: int | None = None
+    running: int | None = None
+
+
+class Refusal(msgspec.Struct):
+    """An answer that is not a job's state."""
+
+    error: str
+
+
+read_job = msgspec.json.Decoder(Job).decode
--- /dev/null
+++ b/sagecove/protocol/workers.py
@@ -0,0 +1,108 @@
+"""Messages between workers and controllers."""
+
+from typing import Annotated
+
+import msgspec
+
+LAUNCH, HALT, REAP = "launch", "halt", "reap"
+PULLING, WAITING, TASK_RUNNING, SAVING, EXITED = (
+    "pulling",
+    "waiting",
+    "running",
+    "saving",
+    "exited",
+)
+WHY_DONE, WHY_STOPPED, WHY_ERROR, WHY_FULL, WHY_BUSY, WHY_UNKNOWN = (
+    "done",
+    "stopped",
+    "error",
+    "full",
+    "busy",
+    "unknown",
+)
+
+Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class Hand(
+    msgspec.Struct,
+    rename={
+        "task": "hand",
+        "attempt": "try",
+        "state": "standing",
+        "why": "cause",
+        "saved": "kept",
+    },
+):
+    """A task as a worker reports it."""
+
+    task: str
+    attempt: Count
+    state: str
+    why: str = ""
+    saved: bool = False
+
+
+class Report(
+    msgspec.Struct,
+    rename={
+        "machine": "mount",
+        "type": "breed",
+        "zone": "range",
+        "spot": "borrowed",
+        "session": "ride",
+        "seq": "tally",
+        "token": "brand",
+        "notice_s": "warningS",
+        "tasks": "hands",
+    },
+):
+    """A worker's report."""
+
+    machine: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_.-]{1,120}$")]
+    addr: Annotated[str, msgspec.Meta(max_length=100)]
+    type: str
+    zone: str
+    spot: bool
+    session: Count
+    seq: Count
+    token: Count
+    tasks: list[Hand] = []
+    notice_s: float | None = None
+
+
+class Order(
+    msgspec.Struct,
+    rename={"op": "verb", "task": "hand", "attempt": "try", "grace_s": "leewayS"},
+    omit_defaults=True,
+):
+    """A command to a worker."""
+
+    op: str
+    task: str
+    attempt: int
+    grace_s: float | None = None
+
+
+class Answer(msgspec.Struct, rename={"token": "brand"}):
+    """The response to a report."""
+
+    token: int
+    orders: list[Order]
+
+
+class Direct(msgspec.Struct, rename={"token": "brand", "session": "ride"}):
+    """Commands sent straight to a worker."""
+
+    token: int
+    session: int
+    orders: list[Order]
+
+
+class Redirect(msgspec.Struct, rename={"report_to": "foreman"}, omit_defaults=True):
+    """The body of a 421."""
+
+    report_to: str | None = None
+
+
+read_report = msgspec.json.Decoder(Report).decode
--- /dev/null
+++ b/sagecove/storage/__init__.py
@@ -0,0 +1,1 @@
+"""What is kept in the state service: records, their local mirror, request budgets."""
--- /dev/null
+++ b/sagecove/storage/records.py
@@ -0,0 +1,109 @@
+"""Keys and values in the state service.
+
+Everything under `s/` is watched and mirrored by each controller. Final states live under `o/`,
+outside the watch: they only grow in number and are read one by one when a user asks.
+"""
+
+from typing import Any
+
+import msgspec
+
+from sagecove.protocol.cloud import MachineType
+from sagecove.protocol.users import Job
+
+LIVE = "s/"
+JOB = "s/job/"
+MACHINE = "s/machine/"
+HOLDER = "s/holder/"
+MEMBER = "s/member/"
+QUOTA = "s/quota/"
+RENTAL = "s/rental/"
+TYPES = "s/types"
+PROVISIONER = "s/role/provisioner"
+OVER = "o/"
+
+
+class JobRecord(msgspec.Struct, omit_defaults=True):
+    """A live job: its submission, who claims which tasks, and which are finished."""
+
+    spec: Job
+    at: float
+    claims: dict[str, str] = {}
+    fin: str = ""
+
+
+class OverRecord(msgspec.Struct):
+    """A job's final state, written in the transaction that removes its live record."""
+
+    state: str
+    tasks: int
+
+
+class MachineRecord(msgspec.Struct, omit_defaults=True):
+    """A machine and the shard it belongs to; `leaving` hands it to the provisioner for deletion."""
+
+    type: str
+    zone: str
+    spot: bool
+    shard: str
+    addr: str = ""
+    at: float = 0.0
+    leaving: str = ""
+
+
+class HolderRecord(msgspec.Struct):
+    """Who holds a shard or role, under which lease. The key's revision is the term."""
+
+    node: str
+    lease: int
+
+
+class MemberRecord(msgspec.Struct):
+    """A controller that is up; its lease id lets others hand it a shard in one write."""
+
+    lease: int
+
+
+class QuotaRecord(msgspec.Struct):
+    """A team's limit split into allotments `[cpus, gpus]` per shard; their sum obeys the limit."""
+
+    shards: dict[str, tuple[float, float]] = {}
+
+
+class RentalRecord(msgspec.Struct):
+    """A rental written down before the cloud is asked, so that a successor can repeat it."""
+
+    type: str
+    zone: str
+    spot: bool
+    count: int
+    at: float
+
+
+class TypesRecord(msgspec.Struct):
+    """The cloud's answer about machine types, as last written down by the provisioner."""
+
+    types: list[MachineType]
+
+
+_KINDS: list[tuple[str, Any]] = [
+    (JOB, JobRecord),
+    (MACHINE, MachineRecord),
+    (HOLDER, HolderRecord),
+    (MEMBER, MemberRecord),
+    (QUOTA, QuotaRecord),
+    (RENTAL, RentalRecord),
+    (PROVISIONER, HolderRecord),
+    (TYPES, TypesRecord),
+]
+
+
+def parse(key: str, raw: Any) -> Any:
+    """A record from a decoded JSON value; None if it is garbage or of no known kind."""
+    for prefix, kind in _KINDS:
+        if key.startswith(prefix):
+            try:
+                return msgspec.convert(raw, kind)
+            except msgspec.ValidationError:
+                return None
+    return None
--- /dev/null
+++ b/sagecove/storage/store.py
@@ -0,0 +1,160 @@
+"""Requests to the state service: built here, sent by the transport, paced by the budgets.
+
+Every outcome is one of four: done, conflict (a condition failed), refused (surely not executed)
+and unknown (may have been executed, or may yet be).
+"""
+
+import enum
+import logging
+from collections import deque
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from sagecove.protocol import state as wire
+from sagecove.storage.budget import Budget
+
+log = logging.getLogger("sagecove.store")
+
+Send = Callable[[str, str, Any, float, Callable[[int | None, bytes], None]], None]
+
+
+class Outcome(enum.Enum):
+    """What became of a transaction."""
+
+    DONE = 1
+    CONFLICT = 2
+    REFUSED = 3
+    UNKNOWN = 4
+    NO_LEASE = 5
+
+
+class Result(NamedTuple):
+    """An outcome, with the revision of a success or the failed keys of a conflict."""
+
+    outcome: Outcome
+    revision: int = 0
+    failed: tuple[str, ...] = ()
+
+
+def decode(body: bytes, kind: Any) -> Any:
+    """A decoded answer, or None: garbage counts as no answer."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        log.info("unreadable answer kind=%s", kind.__name__)
+        return None
+
+
+class Store:
+    """Paces and sends requests; `send(method, path, body, timeout, done)` emits one."""
+
+    # Lengths of waits for an answer, as seen by a caller whose own users give up after 2 s or 5 s.
+    READ_S = 1.3
+    COMMIT_S = 2.5
+
+    def __init__(self, rps: float, write_rps: float, nodes: int, now: float, send: Send) -> None:
+        # This controller's share of the limits; a little is left for what others do in bursts.
+        share = 0.95 / nodes
+        self.requests = Budget(rps * share, rps * share, now)
+        self.writes = Budget(write_rps * share, write_rps * 0.5, now)
+        self.send = send
+        self.waiting: deque[tuple[wire.Transaction, Callable[[Result], None], int]] = deque()
+        self.hold_until = 0.0
+        self.waiting_most = 400
+
+    def commit(
+        self,
+        conditions: list[tuple[str, int]],
+        changes: list[wire.Put | wire.Drop],
+        done: Callable[[Result], None],
+        *,
+        urgent: bool = False,
+    ) -> None:
+        """Queue a transaction; `done` hears its outcome. `urgent` ones go first."""
+        transaction = wire.Transaction([wire.Condition(k, s) for k, s in conditions], changes)
+        entry = (transaction, done, len(changes))
+        if len(self.waiting) >= self.waiting_most and not urgent:
+            done(Result(Outcome.REFUSED))
+        elif urgent:
+            self.waiting.appendleft(entry)
+        else:
+            self.waiting.append(entry)
+
+    def flush(self, now: float) -> float | None:
+        """Send what the budgets allow; seconds until more may be sent, None if nothing waits."""
+        while self.waiting:
+            transaction, done, writes = self.waiting[0]
+            wait = max(
+                self.hold_until - now,
+                self.requests.delay(now),
+                self.writes.delay(now, writes),
+            )
+            if wait > 0:
+                return wait
+            self.waiting.popleft()
+            self.requests.spend(now)
+            self.writes.spend(now, writes)
+            self.send("POST", "/commit", transaction, self.COMMIT_S, _committed(done))
+        return None
+
+    def throttled(self, now: float, pause: float) -> None:
+        """The service answered 429: everybody's burst is spent, so pause (the caller jitters)."""
+        self.hold_until = max(self.hold_until, now + pause)
+
+    def read(self, now: float, key: str, done: Callable[[int | None, bytes], None]) -> None:
+        """Read one key."""
+        self.requests.spend(now)
+        self.send("GET", f"/store/{key}", None, self.READ_S, done)
+
+    def page(
+        self, now: float, prefix: str, after: str, done: Callable[[int | None, bytes], None]
+    ) -> None:
+        """Read a page of a prefix."""
+        self.requests.spend(now)
+        start = f"&from={after}" if after else ""
+        self.send("GET", f"/store?prefix={prefix}{start}&most=500", None, 3.0, done)
+
+    def watch(
+        self,
+        now: float,
+        prefix: str,
+        since: int,
+        wait_s: float,
+        done: Callable[[int | None, bytes], None],
+    ) -> None:
+        """Wait for changes after a revision; with `wait_s` 0 a linearizable read of the changes."""
+        self.requests.spend(now)
+        path = f"/watch?prefix={prefix}&from={since}&blockMs={round(wait_s * 1000)}"
+        self.send("GET", path, None, wait_s + (self.READ_S if not wait_s else 10.0), done)
+
+    def grant(self, now: float, ttl_s: float, done: Callable[[int | None, bytes], None]) -> None:
+        """Ask for a lease."""
+        self.requests.spend(now)
+        self.send("POST", "/grants", wire.Grant(round(ttl_s * 1000)), self.READ_S, done)
+
+    def renew(self, now: float, lease: int, done: Callable[[int | None, bytes], None]) -> None:
+        """Renew a lease."""
+        self.requests.spend(now)
+        self.send("POST", f"/grants/{lease}/renew", None, self.READ_S, done)
+
+
+def _committed(done: Callable[[Result], None]) -> Callable[[int | None, bytes], None]:
+    def answered(status: int | None, body: bytes) -> None:
+        if status == 200:
+            revision = decode(body, wire.Revision)
+            done(Result(Outcome.DONE, revision.revision) if revision else Result(Outcome.UNKNOWN))
+        elif status == 409:
+            conflict = decode(body, wire.Conflict)
+            failed = tuple(conflict.failed) if conflict else ()
+            done(Result(Outcome.CONFLICT, conflict.revision if conflict else 0, failed))
+        elif status in (429, 503, 0):
+            done(Result(Outcome.REFUSED))
+        elif status == 400:
+            log.info("transaction refused body=%s", body[:200])
+            done(Result(Outcome.NO_LEASE))
+        else:
+            done(Result(Outcome.UNKNOWN))
+
+    return answered
--- /dev/null
+++ b/sagecove/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: HTTP server, HTTP clients, and the loop that feeds the owner."""
