--- a/sagecove/coordination/leadership.py
+++ b/sagecove/coordination/leadership.py
@@ -175,7 +175,7 @@
             patience = self.length / 8 if MEMBER + name in owner.mirror.items else 0.0
             if now >= since + patience and now < self.acting_until():
                 self._take(name)
-        if PROVISIONER not in owner.mirror.items:
+        if PROVISIONER not in owner.mirror.items and self.lease is not None:
             since = self.missing_since.setdefault(
                 PROVISIONER, now + owner.random.uniform(0, self.length / 16)
             )
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -370,8 +370,6 @@
 
     def _apply(self, event: Event) -> None:
         key = event.key
-        if event.value is None and key in self.mirror.items:
-            pass
         if not self.mirror.apply(event):
             return
         self.dirty = True
@@ -383,9 +381,8 @@
             self.types = {t.name: t for t in event.value.types}
             for machine in self.machines.values():
                 machine.kind = self.types.get(machine.record.type)
-        elif key.startswith((r.HOLDER, r.PROVISIONER)):
-            if event.value is None and key.startswith(r.HOLDER):
-                self.leadership.check_holders()
+        elif key.startswith(r.HOLDER) and event.value is None:
+            self.leadership.check_holders()
 
     def _job_changed(self, job_id: str, event: Event) -> None:
         job = self.jobs.get(job_id)
