--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,284 @@
+"""Stories of the whole service against stand-ins."""
+
+import json
+
+import pytest
+
+from tests.world import World, job
+
+
+@pytest.fixture
+def world() -> World:
+    """Three controllers that are up, with four small machines."""
+    w = World()
+    for i in range(4):
+        w.cloud.start("small", "ab"[i % 2], False)
+    w.run(3)
+    return w
+
+
+def standing(w: World, node: str, job_id: str) -> str:
+    status, body = w.user(node, "GET", f"/api/jobs/{job_id}")
+    return body["standing"] if status == 200 else str(status)
+
+
+def test_array_runs_to_done_and_every_node_says_so(world: World) -> None:
+    assert world.submit("n0", job(1, hands=6))[0] == 201
+    world.until(lambda: standing(world, "n1", "run-000001") == "done", 60)
+    assert len({t for t in world.completed}) == 6
+    for node in world.owners:
+        assert standing(world, node, "run-000001") == "done"
+    # A late retry of the submission meets the final state.
+    assert world.submit("n2", job(1, hands=6)) == (
+        200,
+        {"nameId": "run-000001", "standing": "done"},
+    )
+
+
+def test_machines_are_rented_when_there_are_none_and_returned_when_idle() -> None:
+    w = World()
+    w.run(3)
+    assert w.submit("n1", job(1, hands=24))[0] == 201
+    w.until(lambda: standing(w, "n0", "run-000001") == "done", 90)
+    rented = len(w.cloud.machines)
+    assert rented >= 4
+    w.run(120)
+    assert len(w.cloud.machines) < rented
+
+
+def test_bad_input_gets_a_reason(world: World) -> None:
+    assert world.user("n0", "POST", "/api/jobs", b"{")[0] == 400
+    assert world.user("n0", "POST", "/api/jobs", b"[]")[0] == 400
+    assert world.user("n0", "POST", "/api/jobs", job(1, hands=0))[0] == 400
+    assert world.user("n0", "POST", "/api/jobs", job(1, vcpus="x"))[0] == 400
+    for wrong in (
+        {"outfit": "green"},
+        {"vcpus": 999.0},
+        {"range": "nowhere"},
+        {"outfit": "blue", "shape": "service", "hands": 5},
+    ):
+        status, body = world.user("n0", "POST", "/api/jobs", job(1, **wrong))
+        assert status == 422 and body["error"]
+    assert world.user("n0", "GET", "/api/jobs/run-000009")[0] == 404
+    assert world.user("n0", "GET", "/api/nothing")[0] == 404
+    assert world.user("n0", "PUT", "/api/jobs")[0] == 405
+    assert world.user("n0", "POST", "/hello", b'{"mount":1}')[0] == 400
+
+
+def test_cancel_is_durable_and_stops_tasks(world: World) -> None:
+    world.submit("n0", job(1, shape="service", hands=3))
+    world.until(lambda: world.running("run-000001") == 3, 30)
+    answer = world.user("n2", "POST", "/api/jobs/run-000001/cancel")
+    assert answer == (200, {"nameId": "run-000001", "standing": "aborted"})
+    world.until(lambda: world.running("run-000001") == 0, 5)
+    assert standing(world, "n1", "run-000001") == "aborted"
+
+
+def test_cancel_against_a_start_in_flight(world: World) -> None:
+    # Direct commands hang, so the launch is in doubt when the cancellation comes.
+    for worker in world.workers.values():
+        worker.cut_direct = True
+    world.submit("n0", job(1, shape="service", hands=1))
+    world.run(0.3)
+    assert world.user("n1", "POST", "/api/jobs/run-000001/cancel")[0] == 200
+    world.run(10)
+    for worker in world.workers.values():
+        worker.cut_direct = False
+        for held in worker.held:
+            worker.commands(held)
+    world.run(40)
+    assert world.running("run-000001") == 0
+
+
+def test_late_direct_launch_after_reap_starts_nothing(world: World) -> None:
+    # The direct launch is held back; the report's answer launches the task, which completes.
+    # Were it reaped under the same token, the late copy would run it once more.
+    for worker in world.workers.values():
+        worker.cut_direct = True
+    world.submit("n0", job(1, hands=2))
+    world.until(lambda: standing(world, "n0", "run-000001") == "done", 60)
+    world.run(10)
+    starts = len(world.starts)
+    for worker in world.workers.values():
+        assert not worker.tasks
+        worker.cut_direct = False
+        for held in worker.held:
+            worker.commands(held)
+    world.run(5)
+    assert len(world.starts) == starts
+
+
+def test_crash_after_durable_write_and_before_answer(world: World) -> None:
+    def hook(node: str, body: dict) -> str | None:
+        return "unanswered" if any("run-000001" in c["path"] for c in body["if"]) else None
+
+    world.state.hook = hook
+    assert world.submit("n0", job(1))[0] == 503
+    world.state.hook = None
+    world.kill("n0")
+    status, body = world.submit("n1", job(1))
+    assert status == 200 and body["standing"] in ("pending", "running", "done")
+    world.boot_node(0)
+    world.until(lambda: standing(world, "n1", "run-000001") == "done", 60)
+
+
+def test_restarted_controller_takes_its_shard_at_once_and_stops_nothing(world: World) -> None:
+    world.submit("n0", job(1, shape="service", hands=4))
+    world.until(lambda: world.running("run-000001") == 4, 40)
+    starts = len(world.starts)
+    world.kill("n0")
+    world.run(3)
+    world.boot_node(0)
+    world.until(lambda: "n0" in world.owners["n0"].held, 3)
+    world.run(20)
+    assert world.running("run-000001") == 4
+    assert len(world.starts) == starts
+
+
+def test_takeover_with_a_silent_machine_waits_for_its_lease(world: World) -> None:
+    world.submit("n0", job(1, shape="service", hands=6))
+    world.until(lambda: world.running("run-000001") == 6, 40)
+    holder = next(n for n, o in world.owners.items() if o.jobs["run-000001"].placed)
+    silent = next(w for w in world.workers.values() if w.live())
+    silent.cut = True
+    world.kill(holder)
+    # World.started checks that no task starts elsewhere while it runs on the silent machine.
+    world.run(60)
+    assert world.running("run-000001") == 6
+
+
+def test_old_holders_late_commands_are_fenced(world: World) -> None:
+    world.submit("n0", job(1, shape="service", hands=4))
+    world.until(lambda: world.running("run-000001") == 4, 40)
+    name, owner = next((n, o) for n, o in world.owners.items() if o.jobs["run-000001"].placed)
+    machine = next(m for m in owner.machines.values() if m.tasks)
+    token = max(owner.held[machine.record.shard].term, machine.stamp)
+    late = {"brand": token, "ride": 1, "orders": [{"verb": "launch", "hand": "x/0", "try": 1}]}
+    world.state.refused.add(name)
+    world.cut_links.add((name, "state"))
+    world.run(40)
+    assert not owner.acting_shards(world.now)
+    worker = world.workers[machine.name]
+    assert worker.commands(late)[0] == 409
+    assert world.running("run-000001") == 4
+
+
+def test_two_controllers_race_for_a_claim(world: World) -> None:
+    for i in range(12):
+        world.submit(f"n{i % 3}", job(i, hands=5))
+    world.until(lambda: len(world.completed) == 60, 200)
+    # Every task was started once: nothing was lost, and no claim was held twice.
+    assert len(world.starts) == 60
+
+
+def test_race_for_the_last_of_a_limit(world: World) -> None:
+    # World.check fails if team blue ever uses more than its 8 CPUs.
+    for i in range(6):
+        world.submit(f"n{i % 3}", job(i, outfit="blue", hands=4))
+    world.until(lambda: len(world.completed) == 24, 200)
+
+
+def test_reap_only_after_the_finished_set_is_durable(world: World) -> None:
+    world.submit("n0", job(1, hands=1))
+    world.until(lambda: world.running("run-000001") == 1, 20)
+    world.state.hook = lambda node, body: "lost"
+    worker = next(w for w in world.workers.values() if w.tasks)
+    world.run(9)
+    assert [v["standing"] for v in worker.tasks.values()] == ["exited"]
+    world.state.hook = None
+    world.until(lambda: not worker.tasks, 20)
+    assert json.loads(json.dumps(world.state.keys["o/run-000001"][0]))["state"] == "done"
+
+
+def test_outage_longer_than_the_lease_breaks_no_rule(world: World) -> None:
+    world.submit("n0", job(1, shape="service", hands=4))
+    world.until(lambda: world.running("run-000001") == 4, 40)
+    world.state.outage(True)
+    world.run(2)
+    assert standing(world, "n1", "run-000001") == "503"
+    world.run(33)
+    world.state.outage(False)
+    world.until(lambda: world.running("run-000001") == 4, 60)
+
+
+def test_node_refused_alone_during_a_cancellation(world: World) -> None:
+    world.submit("n0", job(1, shape="service", hands=4))
+    world.until(lambda: world.running("run-000001") == 4, 40)
+    holder = next(n for n, o in world.owners.items() if o.jobs["run-000001"].placed)
+    world.state.refused.add(holder)
+    other = next(n for n in world.owners if n != holder)
+    # World.check fails if a task is still there cancel_s later.
+    assert world.user(other, "POST", "/api/jobs/run-000001/cancel")[0] == 200
+    world.run(60)
+    assert world.running("run-000001") == 0
+
+
+def test_gang_runs_with_one_attempt_in_one_zone(world: World) -> None:
+    world.submit("n0", job(1, shape="ensemble", hands=4, samePlace=True, vcpus=4.0))
+    world.until(lambda: standing(world, "n2", "run-000001") == "done", 120)
+
+
+def test_spread_service_keeps_half_of_its_tasks_per_zone(world: World) -> None:
+    world.submit("n0", job(1, shape="service", hands=5, scatter=True, vcpus=1.0))
+    world.until(lambda: world.running("run-000001") == 5, 60)
+    for worker in world.workers.values():
+        if worker.info["range"] == "a":
+            worker.cut = True
+    world.run(60)
+
+
+def test_production_displaces_low(world: World) -> None:
+    for worker in world.workers.values():
+        worker.run_s = 500.0
+    world.cloud.capacity = {"small": 4, "gpu": 0}
+    world.submit("n0", job(1, hands=8, rank="low"))
+    world.until(lambda: world.running("run-000001") == 8, 60)
+    world.submit("n1", job(2, shape="service", hands=2, rank="production"))
+    assert world.until(lambda: world.running("run-000002") == 2, 20) < 10
+
+
+def test_watch_that_lost_its_place_reads_everything_again(world: World) -> None:
+    world.state.forgets_before = world.state.ledger + 1
+    world.submit("n0", job(1, hands=2))
+    world.run(1)
+    world.state.forgets_before = 0
+    world.until(lambda: standing(world, "n1", "run-000001") == "done", 60)
+
+
+def test_failing_machine_is_replaced_and_the_job_completes(world: World) -> None:
+    bad = next(iter(world.workers.values()))
+    bad.fails = True
+    for i in range(6):
+        world.submit("n0", job(i, hands=4))
+    world.until(lambda: len(world.completed) == 24, 200)
+    world.until(lambda: bad.dead, 60)
+
+
+def test_lost_rental_answer_rents_once() -> None:
+    w = World()
+    real = w.cloud.request
+    dropped: list[str] = []
+
+    def request(method, path, body, answer):  # type: ignore[no-untyped-def]
+        if path == "/machines" and not dropped:
+            dropped.append(body["hire"])
+            real(method, path, body, lambda s, b: None)
+        else:
+            real(method, path, body, answer)
+
+    w.cloud.request = request  # type: ignore[method-assign]
+    w.run(3)
+    w.submit("n0", job(1, hands=1))
+    w.until(lambda: standing(w, "n0", "run-000001") == "done", 90)
+    assert dropped and len(w.cloud.requests[dropped[0]]) == 1
+    assert w.cloud.number <= 2
+
+
+def test_machine_that_never_comes_up_is_returned() -> None:
+    w = World()
+    w.run(3)
+    w.cloud.never_boot = 1
+    w.submit("n0", job(1, hands=1))
+    w.until(lambda: standing(w, "n0", "run-000001") == "done", 200)
+    w.run(120)
+    assert "vm-000000" in w.cloud.deleted
