--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -11,9 +11,12 @@
 
 from sagecove.coordination.model import JobRun, Machine, Placement, Shard
 from sagecove.coordination.placement import (
+    Futile,
     Room,
     machine_allowed,
+    keep_reserved,
     plan,
+    promise,
     room_of,
     slots,
     zone_counts,
@@ -36,19 +39,21 @@
 def precedence(job: JobRun) -> tuple[bool, bool, int, float, float]:
     """Order of claims: production, then guarantees, then priority, then deadline or age."""
     due = job.at + job.spec.deadline_s if job.spec.deadline_s is not None else float("inf")
-    return job.priority != 3, not job.within, -job.priority, due, job.at
+    return *standing(job), due, job.at
+
+
+def standing(job: JobRun) -> tuple[bool, bool, int]:
+    """The part of the order that does not change with time."""
+    return job.priority != 3, not job.within, -job.priority
 
 
 def may_stop(job: JobRun, victim: JobRun) -> bool:
-    """PROTOCOL's preemption rules, and none where it could go back and forth."""
-    if victim.priority < job.priority:
-        return True
-    return (
-        job.within
-        and not victim.within
-        and victim.spec.team != job.spec.team
-        and victim.priority < 3
+    """PROTOCOL's preemption rules; and only for a job that comes first in our own order, since
+    otherwise the victim would take the room straight back."""
+    allowed = victim.priority < job.priority or (
+        job.within and not victim.within and victim.spec.team != job.spec.team
     )
+    return allowed and standing(job) < standing(victim)
 
 
 class Claims:
@@ -59,6 +64,11 @@
         # DESIGN's pollInterval is 1.5 s with a lease of 20 s: kept as a ratio to the report pace.
         self.poll_s = min(1.5, owner.settings.params.workers.report_s / 2)
         self.open_claims = 0
+        self.make_at = 0.0
+        # Of the pass and shard at hand.
+        self.making = False
+        self.futile = Futile()
+        self.futile_making = Futile()
         self.retries: list[tuple[JobRun, Shard, dict[str, int], int]] = []
 
     def run(self, now: float) -> None:
@@ -74,9 +84,15 @@
         self._record(now, shards)
         self._gangs(now)
         ordered = sorted(owner.jobs.values(), key=precedence)
+        # Looking for tasks to stop is the costly part: not on every pass.
+        self.making = now >= self.make_at
+        if self.making:
+            self.make_at = now + self.poll_s / 4
         for shard in shards:
             promised: Room = {}
-            machines = owner.shard_machines(shard.name)
+            machines = [m for m in owner.shard_machines(shard.name) if m.open]
+            self.futile = Futile()
+            self.futile_making = Futile()
             self._place(now, shard, machines, ordered, promised)
             self._compete(now, shard, machines, ordered, promised)
         for team, name, record in owner.quota.trims(now):
@@ -185,6 +201,7 @@
             bits = job.placeable(name)
             if not bits:
                 job.stuck_at.pop(name, None)
+                job.reserved.clear()
                 continue
             if now < job.hold_until or (job.gang and job.placed):
                 continue
@@ -202,7 +219,13 @@
                     for m in machines
                     if not any(p.job is job and not p.live for p in m.tasks.values())
                 ]
-            planned = plan(job, indexes, usable, owner.random, {}) if indexes else []
+            planned: list[tuple[int, Machine]] = []
+            if indexes and not self.futile.known(job):
+                planned = plan(job, indexes, usable, owner.random, promised)
+                for _, machine in planned:
+                    promise(promised, machine.name, spec, -1)
+                if len(planned) < len(indexes) and not job.gang and usable is machines:
+                    self.futile.add(job)
             if planned:
                 attempt = shard.next_attempt()
                 for index, machine in planned:
@@ -210,12 +233,21 @@
             left = wanted - len(planned)
             if not left:
                 job.stuck_at.pop(name, None)
+                job.reserved.clear()
                 continue
-            making = 0
-            if len(indexes) > len(planned):
-                making = self._make_room(now, job, left, machines, promised)
+            if now > job.reserved_until:
+                job.reserved.clear()
+            for _, machine in planned:
+                if job.reserved.get(machine.name, 0) > 0:
+                    job.reserved[machine.name] -= 1
+            making = sum(job.reserved.values())
+            keep_reserved(promised, job)
+            if len(indexes) - len(planned) > making and self.making:
+                making += self._make_room(
+                    now, job, len(indexes) - len(planned) - making, machines, promised
+                )
             since = job.stuck_at.setdefault(name, now)
-            if making >= left or now - since < self.poll_s or job.committing:
+            if not self.making or making >= left or now - since < self.poll_s or job.committing:
                 continue
             self._release(now, job, shard)
 
@@ -248,6 +280,9 @@
         """Stop tasks that this job may displace; how many of its tasks will then fit."""
         making = 0
         spec = job.spec
+        rank = (job.priority, job.within, spec.team if job.within else "")
+        if self.futile_making.known(job, rank):
+            return 0
         candidates: list[tuple[float, Machine, list[Placement]]] = []
         counts = zone_counts(job)
         for machine in machines:
@@ -282,16 +317,17 @@
             if slots(spec, (room[0], room[1], room[2])) >= 1:
                 candidates.append((loss, machine, chosen))
         candidates.sort(key=lambda c: (c[0], c[1].name))
+        if not candidates:
+            self.futile_making.add(job, rank)
         if job.gang and len(candidates) < count:
             return 0
         for _, machine, chosen in candidates:
             if making >= count:
                 break
             making += 1
-            held = promised.setdefault(machine.name, [0.0, 0.0, 0.0])
-            held[0] += spec.cpus
-            held[1] += spec.gpus
-            held[2] += spec.memory_gb
+            promise(promised, machine.name, spec)
+            job.reserved[machine.name] = job.reserved.get(machine.name, 0) + 1
+            job.reserved_until = now + 2 * self.owner.settings.params.workers.report_s + 10.0
             for p in chosen:
                 assert p.job is not None
                 grace = p.job.spec.save_s if p.job.spec.checkpoint_s > 0 else 0.0
@@ -345,7 +381,10 @@
         if not wanted:
             return 0
         indexes = list(taskset.members(taskset.lowest(bits, min(wanted, 1000))))
-        return len(plan(job, indexes, machines, self.owner.random, promised))
+        count = len(plan(job, indexes, machines, self.owner.random, promised))
+        if count < len(indexes) and not job.gang:
+            self.futile.add(job)
+        return count
 
     def _compete(
         self,
@@ -366,12 +405,14 @@
             bits = job.unclaimed
             if not bits or (job.whole and bits != job.every & ~job.fin):
                 continue
-            count = self.fitting(job, shard.name, machines, promised)
             wanted = bits.bit_count()
+            count = 0
+            if not self.futile.known(job):
+                count = self.fitting(job, shard.name, machines, promised)
             if job.whole and count < wanted and not job.gang and now - job.seen_at > self.poll_s:
                 # A service that must be decided in one place starts with what there is.
                 count = wanted if count else 0
-            if count < wanted and now - job.seen_at > self.poll_s / 3:
+            if self.making and count < wanted and now - job.seen_at > self.poll_s / 3:
                 able = owner.quota.claimable(shard.name, job.spec, wanted)
                 if able > count:
                     count += self._could_make(job, able - count, machines, promised)
@@ -383,6 +424,9 @@
         """How many tasks would fit if others were stopped for them (nothing is stopped yet)."""
         making = 0
         spec = job.spec
+        rank = (job.priority, job.within, spec.team if job.within else "")
+        if self.futile_making.known(job, rank):
+            return 0
         zones: set[str] = set()
         for machine in machines:
             if making >= count:
@@ -398,6 +442,8 @@
                     continue
                 zones.add(machine.record.zone)
                 making += 1
+        if not making:
+            self.futile_making.add(job, rank)
         return making
 
     def claim(self, job: JobRun, shard: Shard, bits: int) -> None:
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -36,6 +36,9 @@
         self.limbo: dict[str, int] = {}
         # Tasks whose release is under way: placed by nobody until its outcome is known.
         self.releasing = 0
+        # Room being made by stopping others: machine name to number of tasks, and until when.
+        self.reserved: dict[str, int] = {}
+        self.reserved_until = 0.0
         self.committing = False
         self.claim_after = 0.0
         self.seen_at = 0.0
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -17,7 +17,7 @@
 from sagecove.coordination.effects import Answered, Asked, Call, Command, Effect, Reply
 from sagecove.coordination.leadership import Leadership
 from sagecove.coordination.model import JobRun, Machine, Placement, Shard
-from sagecove.coordination.placement import Room
+from sagecove.coordination.placement import Room, keep_reserved, plan
 from sagecove.coordination.provision import Provision
 from sagecove.coordination.quota import Quota
 from sagecove.coordination.users import Users
@@ -27,6 +27,7 @@
 from sagecove.protocol.peers import Hint, read_hint
 from sagecove.protocol.users import Refusal
 from sagecove.storage import records as r
+from sagecove.storage import taskset
 from sagecove.storage.mirror import Event, Item, Mirror
 from sagecove.storage.store import Outcome, Result, Store, decode
 
@@ -35,7 +36,7 @@
 Done = Callable[[int | None, bytes], None]
 
 # A pass over jobs and machines, at most this often (seconds); ticks come about as often.
-PASS_S = 0.05
+PASS_S = 0.08
 TICK_S = 0.25
 
 
@@ -153,7 +154,6 @@
     def _pass(self, now: float) -> None:
         self.quota.forget()
         self.quota.assign_guarantees(list(self.jobs.values()))
-        self._halt_over()
         self.claims.run(now)
 
     # -- requests -------------------------------------------------------------------------------
@@ -496,29 +496,15 @@
                 job.limbo.pop(shard.name, None)
             self.dirty = True
 
-    def _halt_over(self) -> None:
-        """Tasks of jobs that are over, wherever they were seen."""
-        for machine in self.machines.values():
-            for placement in machine.tasks.values():
-                job = placement.job
-                if (
-                    job is not None
-                    and placement.live
-                    and self.jobs.get(job.id) is not job
-                    and placement.halt != 0.0
-                ):
-                    self.workers.halt(placement, 0.0, "job over")
-
     def promised(self, shard: str) -> Room:
         """Room of a shard's machines that its claimed but unplaced tasks will take."""
         promised: Room = {}
         machines = self.shard_machines(shard)
-        from sagecove.coordination.placement import plan
-        from sagecove.storage import taskset
-
         for job in self.jobs.values():
             bits = job.placeable(shard)
-            if bits:
+            if bits and job.reserved:
+                keep_reserved(promised, job)
+            elif bits:
                 indexes = list(taskset.members(taskset.lowest(bits, 200)))
                 plan(job, indexes, machines, self.random, promised)
         return promised
--- a/sagecove/coordination/placement.py
+++ b/sagecove/coordination/placement.py
@@ -36,11 +36,46 @@
 
 def slots(spec: Job, room: tuple[float, float, float]) -> int:
     """How many tasks fit a room."""
+    cpus, gpus, memory = room
+    if cpus + EPS < spec.cpus or gpus + EPS < spec.gpus or memory + EPS < spec.memory_gb:
+        return 0
     count = 1 << 20
-    for have, need in zip(room, (spec.cpus, spec.gpus, spec.memory_gb), strict=True):
-        if need > 0:
-            count = min(count, int((have + EPS) / need)) if have > 0 else 0
-    return max(count, 0)
+    if spec.cpus > 0:
+        count = int((cpus + EPS) / spec.cpus)
+    if spec.gpus > 0:
+        count = min(count, int((gpus + EPS) / spec.gpus))
+    if spec.memory_gb > 0:
+        count = min(count, int((memory + EPS) / spec.memory_gb))
+    return count
+
+
+class Futile:
+    """Needs that found no room in this pass: whoever needs as much, with the same constraints,
+    need not look again. Under a backlog nearly every job is one of these."""
+
+    def __init__(self) -> None:
+        self._needs: dict[tuple[object, ...], list[tuple[float, float, float]]] = {}
+
+    @staticmethod
+    def _key(job: JobRun) -> tuple[object, ...]:
+        spec = job.spec
+        return (tuple(spec.types) if spec.types else None, spec.zone, spec.spot)
+
+    def known(self, job: JobRun, rank: object = None) -> bool:
+        """Looking is known to be futile for a job (of this rank, where rank matters)."""
+        spec = job.spec
+        for cpus, gpus, memory in self._needs.get((*self._key(job), rank), ()):
+            if spec.cpus >= cpus and spec.gpus >= gpus and spec.memory_gb >= memory:
+                return True
+        return False
+
+    def add(self, job: JobRun, rank: object = None) -> None:
+        """One task of the job found no room."""
+        spec = job.spec
+        if spec.one_zone or spec.spread:
+            return
+        needs = self._needs.setdefault((*self._key(job), rank), [])
+        needs.append((spec.cpus, spec.gpus, spec.memory_gb))
 
 
 def room_of(machine: Machine, promised: Room | None) -> tuple[float, float, float]:
@@ -51,12 +86,18 @@
     return cpus, gpus, memory
 
 
-def promise(promised: Room, machine: Machine, spec: Job) -> None:
-    """Count a planned task."""
-    held = promised.setdefault(machine.name, [0.0, 0.0, 0.0])
-    held[0] += spec.cpus
-    held[1] += spec.gpus
-    held[2] += spec.memory_gb
+def promise(promised: Room, name: str, spec: Job, count: int = 1) -> None:
+    """Count planned tasks on a machine in (or, with a negative count, out)."""
+    held = promised.setdefault(name, [0.0, 0.0, 0.0])
+    held[0] += spec.cpus * count
+    held[1] += spec.gpus * count
+    held[2] += spec.memory_gb * count
+
+
+def keep_reserved(promised: Room, job: JobRun) -> None:
+    """What others were stopped for stays kept for the job they were stopped for."""
+    for name, count in job.reserved.items():
+        promise(promised, name, job.spec, count)
 
 
 def rank(job: JobRun, machine: Machine) -> tuple[int, int, int]:
@@ -95,10 +136,9 @@
     spec = job.spec
     open_machines: list[tuple[Machine, int]] = []
     for machine in machines:
-        if machine.open and machine_allowed(spec, machine):
-            count = slots(spec, room_of(machine, promised))
-            if count > 0:
-                open_machines.append((machine, count))
+        count = slots(spec, room_of(machine, promised))
+        if count > 0 and machine.open and machine_allowed(spec, machine):
+            open_machines.append((machine, count))
     if not open_machines:
         return []
     counts = zone_counts(job)
@@ -146,13 +186,10 @@
         left[machine.name] -= 1
         here[machine.name] = here.get(machine.name, 0) + 1
         counts[machine.record.zone] = counts.get(machine.record.zone, 0) + 1
-        promise(promised, machine, spec)
+        promise(promised, machine.name, spec)
         planned.append((index, machine))
     if job.gang and len(planned) < len(indexes):
         for _, machine in planned:
-            held = promised[machine.name]
-            held[0] -= spec.cpus
-            held[1] -= spec.gpus
-            held[2] -= spec.memory_gb
+            promise(promised, machine.name, spec, -1)
         return []
     return planned
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -15,7 +15,7 @@
 
 from sagecove.coordination.effects import Reply
 from sagecove.coordination.model import JobRun
-from sagecove.coordination.placement import type_allowed
+from sagecove.coordination.placement import Futile, type_allowed
 from sagecove.protocol import state as wire
 from sagecove.protocol import users as u
 from sagecove.protocol.state import Pair
@@ -187,6 +187,7 @@
             return None
         machines = owner.shard_machines(node)
         promised = owner.promised(node)
+        owner.claims.futile = Futile()
         count = owner.claims.fitting(job, node, machines, promised)
         if not count or (job.whole and count < job.spec.tasks):
             return None
