--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -13,8 +13,8 @@
 from sagecove.coordination.placement import (
     Futile,
     Room,
-    machine_allowed,
     keep_reserved,
+    machine_allowed,
     plan,
     promise,
     room_of,
