A lost reduction of an allotment no longer ends the caution of a later one

One at a time per team and shard, and each removes only its own note. Also: a report that a direct command's answer has overtaken is answered, not refused.

--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -24,7 +24,7 @@
 from sagecove.protocol import state as wire
 from sagecove.protocol.users import DONE
 from sagecove.storage import taskset
-from sagecove.storage.records import HOLDER, JOB, OVER, QUOTA, OverRecord
+from sagecove.storage.records import HOLDER, JOB, OVER, QUOTA, OverRecord, QuotaRecord
 from sagecove.storage.store import Outcome, Result
 
 if TYPE_CHECKING:
@@ -147,20 +147,29 @@
         conditions = [(JOB + job.id, job.stamp), (HOLDER + shard.name, shard.term)]
         owner.commit(conditions + (extra or []), changes, done)
 
-    def _trim(self, team: str, shard: Shard, record: object) -> None:
+    def _trim(self, team: str, shard: Shard, record: QuotaRecord) -> None:
         owner = self.owner
         key = QUOTA + team
         stamp = owner.mirror.stamp(key)
-        new = record.shards.get(shard.name, (0.0, 0.0))  # type: ignore[attr-defined]
         # Until the outcome is known, the smaller allotment holds here.
-        owner.quota.shrinking[shard.name, team] = (stamp, new)
-
-        def done(result: Result) -> None:
-            if result.outcome in (Outcome.REFUSED, Outcome.CONFLICT):
-                owner.quota.shrinking.pop((shard.name, team), None)
-
+        shrink = (stamp, record.shards.get(shard.name, (0.0, 0.0)))
+        owner.quota.shrinking[shard.name, team] = shrink
         conditions = [(key, stamp), (HOLDER + shard.name, shard.term)]
-        owner.commit(conditions, [wire.Put(key, record)], done)
+        owner.commit(
+            conditions,
+            [wire.Put(key, record)],
+            lambda result: self.trimmed(shard, team, shrink, result),
+        )
+
+    def trimmed(
+        self, shard: Shard, team: str, shrink: tuple[int, tuple[float, float]], result: Result
+    ) -> None:
+        """A reduction that surely was not made no longer counts. Another may be under way by
+        now, and its caution must not end with this one's failure."""
+        shrinking = self.owner.quota.shrinking
+        surely_not = result.outcome in (Outcome.REFUSED, Outcome.CONFLICT)
+        if surely_not and shrinking.get((shard.name, team)) == shrink:
+            del shrinking[shard.name, team]
 
     # -- gangs ----------------------------------------------------------------------------------
 
--- a/sagecove/coordination/quota.py
+++ b/sagecove/coordination/quota.py
@@ -161,6 +161,8 @@
                 continue
             for shard in self.owner.acting_shards(now):
                 allot = self.allotted(shard, team)
+                if (shard, team) in self.shrinking:
+                    continue
                 have = self.committed(shard, team)
                 if allot[0] - have[0] > 0.01 or allot[1] - have[1] > 0.01:
                     shards = dict(self.record(team).shards)
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -79,11 +79,13 @@
                 owner.effects.append(Reply(exchange, 503, Refusal("no authority at the moment")))
             return
         token = max(shard.term, machine.stamp)
-        if not self._newer(machine, report.session, report.seq):
-            # Held back on its way; its worker has long stopped waiting for this answer.
+        if self._newer(machine, report.session, report.seq):
+            self.read(machine, report, token, hello=True)
+        elif report.session != machine.session or report.session <= machine.over_session:
             owner.effects.append(Reply(exchange, 503, Refusal("report is out of date")))
             return
-        self.read(machine, report, token, hello=True)
+        # Otherwise a direct command's answer has overtaken it: the list is old, but the worker
+        # waits for this answer.
         machine.answered_at = now
         orders = self.orders(machine, report.seq) if machine.known else []
         owner.effects.append(Reply(exchange, 200, w.Answer(token, orders)))
