--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -616,11 +616,16 @@
             hint.running.get(job_id, 0) for at, hint in self.hints.values() if self.now - at < 5.0
         )
 
-    def heard_somewhere(self, machine: Machine) -> bool:
-        """A machine is up, as far as this controller can tell."""
+    def arrival(self, machine: Machine) -> str:
+        """Whether a machine is `up`, `coming` or `overdue`, as far as this controller can tell."""
         if machine.known:
-            return True
-        if any(machine.name in h.heard for at, h in self.hints.values() if self.now - at < 5.0):
-            return True
+            return "up"
+        holder = self.holder_of(machine.record.shard)
+        hint = self.hints.get(holder or "")
+        told = hint is not None and self.now - hint[0] < 5.0
+        if told and hint is not None and machine.name in hint[1].heard:
+            return "up"
         boot = machine.kind.boot_s if machine.kind else 30.0
-        return self.wall() - machine.record.at > 3 * boot
+        if self.wall() - machine.record.at < 2 * boot:
+            return "coming"
+        return "overdue" if told or holder == self.settings.node else "up"
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -6,15 +6,18 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from sagecove.coordination.model import JobRun
-from sagecove.coordination.placement import slots, type_allowed
+from sagecove.coordination.claims import precedence
+from sagecove.coordination.model import JobRun, Machine
+from sagecove.coordination.placement import machine_allowed, slots, type_allowed, zone_counts
 from sagecove.protocol import cloud as c
 from sagecove.protocol import state as wire
 from sagecove.protocol.cloud import MachineType
+from sagecove.protocol.users import Job
 from sagecove.storage.budget import Budget
 from sagecove.storage.records import (
     HOLDER,
@@ -36,6 +39,46 @@
 Done = Callable[[int | None, bytes], None]
 
 
+@dataclasses.dataclass(slots=True)
+class Coming:
+    """A machine that has not reported yet, or is about to be rented, and its room to be filled."""
+
+    kind: MachineType
+    zone: str
+    spot: bool
+    shard: str
+    cpus: float = 0.0
+    gpus: float = 0.0
+    memory_gb: float = 0.0
+
+    @classmethod
+    def of(cls, machine: Machine) -> Coming:
+        """A machine with a record."""
+        assert machine.kind is not None
+        record = machine.record
+        return cls(machine.kind, record.zone, record.spot, record.shard)
+
+    def takes(self, spec: Job) -> bool:
+        """One more task fits."""
+        kind = self.kind
+        return (
+            type_allowed(spec, kind)
+            and (spec.zone is None or spec.zone == self.zone)
+            and (spec.spot or not self.spot)
+            and slots(
+                spec,
+                (kind.cpus - self.cpus, kind.gpus - self.gpus, kind.memory_gb - self.memory_gb),
+            )
+            > 0
+        )
+
+    def take(self, spec: Job) -> None:
+        """Count a task in."""
+        self.cpus += spec.cpus
+        self.gpus += spec.gpus
+        self.memory_gb += spec.memory_gb
+
+
 class Provision:
     """Rents and returns machines while this controller holds the role."""
 
@@ -157,7 +200,7 @@
             machine.type,
             machine.zone,
             machine.spot,
-            self._shard_for(None),
+            self._poorest(),
             machine.addr,
             owner.wall(),
             "failed" if machine.state == "failed" else "",
@@ -194,22 +237,11 @@
 
     # -- renting --------------------------------------------------------------------------------
 
-    def _shard_for(self, hungry: str | None) -> str:
-        """The shard a new machine goes to: the one in need, else the one with fewest."""
+    def _poorest(self) -> str:
+        """The shard with the fewest machines, among those that have a holder."""
         owner = self.owner
         up = [n for n in owner.settings.nodes if HOLDER + n in owner.mirror.items]
-        if hungry in up and hungry is not None:
-            return hungry
-        counts = dict.fromkeys(up or [owner.settings.node], 0)
-        for machine in owner.machines.values():
-            if machine.record.shard in counts:
-                counts[machine.record.shard] += 1
-        for key, item in owner.mirror.items.items():
-            if key.startswith(RENTAL) and item.value is not None:
-                shard = key.rpartition(".")[2]
-                if shard in counts:
-                    counts[shard] += item.value.count
-        return min(counts, key=lambda s: (counts[s], s))
+        return min(up or [owner.settings.node], key=lambda n: (len(owner.by_shard.get(n, {})), n))
 
     def options(self, job: JobRun, now: float) -> list[tuple[float, MachineType, str, bool]]:
         """What could be rented for a task of this job, cheapest per task first."""
@@ -240,130 +272,149 @@
         owner = self.owner
         if any(key.startswith(RENTAL) for key in owner.mirror.items):
             return
-        # Room to come: machines that have not reported yet.
-        coming: list[tuple[MachineType, str, bool, str, list[float]]] = []
-        for machine in owner.machines.values():
-            if machine.record.leaving or machine.kind is None:
-                continue
-            if not owner.heard_somewhere(machine):
-                kind = machine.kind
-                record = machine.record
-                coming.append(
-                    (
-                        kind,
-                        record.zone,
-                        record.spot,
-                        record.shard,
-                        [kind.cpus, kind.gpus, kind.memory_gb],
-                    )
-                )
+        coming = [
+            Coming.of(m)
+            for m in owner.machines.values()
+            if m.kind is not None and not m.record.leaving and owner.arrival(m) == "coming"
+        ]
         wanted: dict[tuple[str, str, bool, str], int] = {}
-        for job, count, shard in self._demand(now):
-            spec = job.spec
-            zones: dict[str, int] = {}
-            for p in job.placed.values():
-                zone = p.machine.record.zone
-                zones[zone] = zones.get(zone, 0) + 1
-            cap = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
-            for _ in range(count):
-                placed = False
-                for kind, zone, spot, of, room in coming:
-                    if (
-                        type_allowed(spec, kind)
-                        and (spec.zone is None or spec.zone == zone)
-                        and (spec.spot or not spot)
-                        and (shard is None or of == shard)
-                        and zones.get(zone, 0) < cap
-                        and slots(spec, (room[0], room[1], room[2])) > 0
-                    ):
-                        room[0] -= spec.cpus
-                        room[1] -= spec.gpus
-                        room[2] -= spec.memory_gb
-                        zones[zone] = zones.get(zone, 0) + 1
-                        placed = True
-                        break
-                if placed:
-                    continue
+        jobs = sorted(owner.jobs.values(), key=precedence)
+        for job in jobs:
+            if not job.array and now - job.seen_at > 0.4:
+                for shard, count in self._lacking(job, now):
+                    self._fill(job, count, shard, coming, wanted, now)
+        self._fill_arrays([j for j in jobs if j.array], coming, wanted, now)
+        for (name, zone, spot, shard), count in wanted.items():
+            self._rent_shared(name, zone, spot, shard, count)
+
+    def _lacking(self, job: JobRun, now: float) -> list[tuple[str | None, int]]:
+        """Tasks without a place: those nobody claims, and those whose shard lacks the room."""
+        out: list[tuple[str | None, int]] = []
+        hungry = self.owner.hungry.get(job.id)
+        if hungry is not None and now - hungry[2] < 4.0:
+            out.append((hungry[0], hungry[1]))
+        if unclaimed := job.unclaimed.bit_count():
+            out.append((None, unclaimed))
+        return out
+
+    def _fill(
+        self,
+        job: JobRun,
+        count: int,
+        shard: str | None,
+        coming: list[Coming],
+        wanted: dict[tuple[str, str, bool, str], int],
+        now: float,
+    ) -> None:
+        """Find room for tasks on machines to come, else on machines to be rented."""
+        spec = job.spec
+        zones = zone_counts(job)
+        cap = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
+        for _ in range(min(count, 400)):
+            found = next(
+                (
+                    c
+                    for c in coming
+                    if zones.get(c.zone, 0) < cap
+                    and (shard is None or c.shard in ("", shard))
+                    and c.takes(spec)
+                ),
+                None,
+            )
+            if found is None:
                 choice = next((o for o in self.options(job, now) if zones.get(o[2], 0) < cap), None)
                 if choice is None:
-                    break
+                    return
                 _, kind, zone, spot = choice
-                target = shard or ""
-                key = (kind.name, zone, spot, target)
+                key = (kind.name, zone, spot, shard or "")
                 wanted[key] = wanted.get(key, 0) + 1
-                zones[zone] = zones.get(zone, 0) + 1
-                coming.append(
-                    (
-                        kind,
-                        zone,
-                        spot,
-                        target or shard or "",
-                        [
-                            kind.cpus - spec.cpus,
-                            kind.gpus - spec.gpus,
-                            kind.memory_gb - spec.memory_gb,
-                        ],
-                    )
-                )
-        for (name, zone, spot, target), count in wanted.items():
-            shards = [target] if target else []
-            if not shards:
-                up = [n for n in owner.settings.nodes if HOLDER + n in owner.mirror.items]
-                owner.random.shuffle(up)
-                shards = up or [owner.settings.node]
-            each = -(-count // len(shards))
-            left = count
-            for shard in shards:
-                part = min(each, left, c.RENT_MOST)
-                if part > 0:
-                    left -= part
-                    self.rent(
-                        name,
-                        zone,
-                        spot,
-                        part,
-                        self._shard_for(target or None) if part == 1 and not target else shard,
-                    )
-
-    def _demand(self, now: float) -> list[tuple[JobRun, int, str | None]]:
-        """Tasks without a place, most urgent first: (job, count, the shard that must have them)."""
-        from sagecove.coordination.claims import precedence
+                found = Coming(kind, zone, spot, shard or "")
+                coming.append(found)
+            found.take(spec)
+            zones[found.zone] = zones.get(found.zone, 0) + 1
 
+    def _fill_arrays(
+        self,
+        jobs: list[JobRun],
+        coming: list[Coming],
+        wanted: dict[tuple[str, str, bool, str], int],
+        now: float,
+    ) -> None:
+        """Tasks of arrays may wait their turn: rent only if the machines there are, and those to
+        come, would not be through with all that is ahead of a job by the time it is due."""
         owner = self.owner
-        out: list[tuple[JobRun, int, str | None]] = []
-        for job in sorted(owner.jobs.values(), key=precedence):
-            bits = job.unclaimed
-            count = bits.bit_count()
-            shard = None
-            hungry = owner.hungry.get(job.id)
-            if hungry is not None and now - hungry[2] < 4.0 and hungry[0] in owner.settings.nodes:
-                shard = hungry[0]
-                count += hungry[1]
-            if not count or now - job.seen_at < 0.4:
-                continue
+        # CPUs that arrays may have, by the work's shape: what others claim is taken off.
+        have = 0.0
+        usable: list[Machine] = []
+        for machine in owner.machines.values():
+            if (
+                machine.kind is not None
+                and not machine.record.leaving
+                and not machine.sick
+                and owner.arrival(machine) != "overdue"
+            ):
+                have += machine.kind.cpus
+                usable.append(machine)
+        for other in owner.jobs.values():
+            if not other.array:
+                claimed = (other.unfinished & ~other.unclaimed).bit_count()
+                have -= claimed * self._weight(other)
+        have = max(0.0, have) * 0.9
+        work = 0.0
+        for job in jobs:
+            left = job.unfinished.bit_count()
             limit = owner.quota.teams.get(job.spec.team)
-            if limit is not None:
-                for most, need in (
-                    (limit.cpus_max, job.spec.cpus),
-                    (limit.gpus_max, job.spec.gpus),
-                ):
-                    if need > 0:
-                        count = min(count, int(most / need + 1e-6))
-            if job.array:
-                # Tasks of an array may wait their turn: enough room to be through in time.
-                run = owner.expected(job)
-                horizon = self._horizon(job)
-                at_once = -(-int(count * run) // max(1, int(max(horizon, run))))
-                count = min(count, max(1, at_once))
-            out.append((job, count, shard))
-        return out
-
-    def _horizon(self, job: JobRun) -> float:
-        """How long the rest of an array may take."""
+            if limit is not None and job.spec.cpus > 0:
+                # More than its team may use at one time would not run anyway.
+                left = min(left, 4 * max(1, int(limit.cpus_max / job.spec.cpus)))
+            weight = self._weight(job)
+            run = max(1.0, owner.expected(job))
+            work += left * run * weight
+            if not job.unclaimed or now - job.seen_at < 0.4:
+                continue
+            # Nobody is through sooner than one task's run after the machine is there.
+            soon = max(self._time_left(job) - 0.3 * run, 0.75 * run, 10.0)
+            lack = min(work / soon - have, job.unclaimed.bit_count() * weight)
+            count = int(lack / weight + 0.5)
+            if count <= 0 and not any(machine_allowed(job.spec, m) for m in usable):
+                count = 0 if any(k.takes(job.spec) for k in coming) else 1
+            if count > 0:
+                self._fill(job, count, None, coming, wanted, now)
+                have += count * weight
+
+    def _weight(self, job: JobRun) -> float:
+        """CPUs a task takes, or keeps others from taking because of its memory."""
+        spec = job.spec
+        fitting = [t for t in self.owner.types.values() if type_allowed(spec, t)]
+        if not fitting:
+            return spec.cpus
+        kind = min(fitting, key=lambda t: t.price / max(t.cpus, 0.1))
+        fit = max(1, slots(spec, (kind.cpus, kind.gpus, kind.memory_gb)))
+        return max(spec.cpus, kind.cpus / fit)
+
+    def _time_left(self, job: JobRun) -> float:
+        """How long the rest of an array may take, with some reserve."""
         owner = self.owner
-        target = owner.finish_within(job)
-        left = target * 0.6 - (owner.wall() - job.at)
-        return max(15.0, left)
+        return owner.finish_within(job) * 0.7 - (owner.wall() - job.at)
+
+    def _rent_shared(self, name: str, zone: str, spot: bool, shard: str, count: int) -> None:
+        """Rent machines for a shard, or shared out among the shards that have fewest."""
+        if shard:
+            while count > 0:
+                self.rent(name, zone, spot, min(count, c.RENT_MOST), shard)
+                count -= c.RENT_MOST
+            return
+        owner = self.owner
+        up = [n for n in owner.settings.nodes if HOLDER + n in owner.mirror.items]
+        counts = {n: len(owner.by_shard.get(n, {})) for n in up or [owner.settings.node]}
+        share = dict.fromkeys(counts, 0)
+        for _ in range(count):
+            fewest = min(counts, key=lambda n: (counts[n], n))
+            counts[fewest] += 1
+            share[fewest] += 1
+        for node, part in share.items():
+            if part:
+                self.rent(name, zone, spot, min(part, c.RENT_MOST), node)
 
     def rent(self, kind: str, zone: str, spot: bool, count: int, shard: str) -> None:
         """Write a rental down, then ask the cloud for it."""
