--- a/sagecove/config.py
+++ b/sagecove/config.py
@@ -134,14 +134,14 @@
 
     @property
     def lease_s(self) -> float:
-        """Length of a controller's lease in the state service.
+        """Length of a controller's lease in the state service, and of a peer's promise.
 
-        Long, so that an outage is outlived; but a holder that is cut off must be replaced before
-        its workers' leases run out, and a cancellation it cannot see must still be honoured:
-        lease + worker lease + a worker's save and a margin stay below `cancel_s`.
+        A holder that is cut off must be replaced before its workers' leases run out, and a
+        cancellation it cannot see must still be honoured: lease + worker lease + a worker's save
+        and a margin stay below `cancel_s`. Outages that last longer are outlived by promises.
         """
         workers = self.params.workers
-        return min(0.85 * workers.lease_s, 0.72 * (workers.cancel_s - workers.lease_s))
+        return min(0.65 * workers.lease_s, 0.72 * (workers.cancel_s - workers.lease_s))
 
 
 def load(path: str) -> Settings:
--- a/sagecove/coordination/leadership.py
+++ b/sagecove/coordination/leadership.py
@@ -14,6 +14,7 @@
 
 from sagecove.coordination.model import Shard
 from sagecove.protocol import state as wire
+from sagecove.protocol.peers import Promise
 from sagecove.storage.records import (
     HOLDER,
     MEMBER,
@@ -48,11 +49,45 @@
         self.returned_at: dict[str, float] = {}
         # When a foreign shard's namesake was first seen healthy: it gets a moment to settle.
         self.namesake_since: dict[str, float] = {}
+        # Promises of the other controllers, kept only while all of them stand.
+        self.promises: dict[str, float] = {}
+        self.promised_until = 0.0
+        # Our own promises: no shard taken by lapse is acted for before. A process that has just
+        # started does not know what its predecessor promised.
+        self.given_until = owner.now + self.length
+        # Revision of the last cancellation let through here; unknown after a start, so what the
+        # mirror held when it was loaded counts.
+        self.cancels = 0
+
+    # -- promises in an outage --------------------------------------------------------------------
+
+    def promise(self) -> Promise:
+        """Answer a peer's hint: promise only while refused ourselves, so that a peer refused alone
+        is replaced in time."""
+        owner = self.owner
+        refused = owner.sync_failed_at > owner.synced_at and owner.now - owner.synced_at > 0.5
+        if not owner.mirror.loaded or not refused:
+            return Promise()
+        self.given_until = max(self.given_until, owner.now + self.length)
+        return Promise(self.length, self.cancels)
+
+    def promised(self, node: str, sent: float, promise: Promise) -> None:
+        """A peer has answered a hint sent at `sent`. Promises extend authority that has not ended;
+        they never bring it back: by then somebody may have taken over."""
+        owner = self.owner
+        if promise.for_s <= 0 or promise.cancels > owner.mirror.applied:
+            self.promises.pop(node, None)
+            return
+        self.promises[node] = sent + promise.for_s * (1 - owner.settings.drift)
+        if all(peer.node in self.promises for peer in owner.settings.peers) and self.acting(
+            owner.now
+        ):
+            self.promised_until = max(self.promised_until, min(self.promises.values()))
 
     def acting_until(self) -> float:
         """The moment after which this controller must not act."""
         synced = self.owner.synced_at + self.length * (1 - self.owner.settings.drift)
-        return min(self.until, synced)
+        return max(min(self.until, synced), self.promised_until)
 
     def acting(self, now: float) -> bool:
         """May act for its shards."""
@@ -105,6 +140,7 @@
                 log.info("lease lost lease=%d", lease)
                 self.lease = None
                 self.until = 0.0
+                self.promised_until = 0.0
                 self.renew_at = self.owner.now
                 self.provisioner_term = 0
                 for name in list(self.owner.held):
@@ -151,8 +187,14 @@
             if result.outcome is not Outcome.DONE:
                 self.missing_since[shard] = owner.now + owner.random.uniform(0, self.length / 16)
 
+        node = owner.settings.node
         stamp = owner.mirror.stamp(key)
-        put = wire.Put(key, HolderRecord(owner.settings.node, self.lease), self.lease)
+        # Nobody else can be acting for it if this node was its last holder, or if there is nothing
+        # to act for.
+        before = owner.mirror.items.get(key)
+        vacated = before is not None and before.value.node == node
+        vacated = vacated or not owner.shard_in_use(shard)
+        put = wire.Put(key, HolderRecord(node, self.lease, vacated), self.lease)
         owner.commit([(key, stamp)], [put], done, urgent=True)
 
     def _take_missing(self, now: float) -> None:
@@ -204,7 +246,13 @@
                 held = None
             # Records read for the shard must be no older than the term: earlier holders'
             # transactions are conditional on theirs and fail from then on.
-            if mine and item is not None and held is None and owner.mirror.applied >= item.stamp:
+            if (
+                mine
+                and item is not None
+                and held is None
+                and owner.mirror.applied >= item.stamp
+                and (item.value.vacated or owner.now >= self.given_until)
+            ):
                 owner.gain_shard(Shard(name, item.stamp, owner.now))
         role = owner.mirror.items.get(PROVISIONER)
         mine = role is not None and role.value.lease == self.lease and self.lease is not None
@@ -235,10 +283,10 @@
             shard.yielding = True
             self.busy.add(key)
             if item is not None and item.value is not None:
-                put = wire.Put(key, HolderRecord(name, item.value.lease), item.value.lease)
+                put = wire.Put(key, HolderRecord(name, item.value.lease, True), item.value.lease)
             else:
                 assert self.lease is not None
-                put = wire.Put(key, HolderRecord(owner.settings.node, self.lease), self.lease)
+                put = wire.Put(key, HolderRecord(owner.settings.node, self.lease, True), self.lease)
 
             def done(result: Result, key: str = key, name: str = name) -> None:
                 self.busy.discard(key)
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -173,7 +173,11 @@
         self.errors: dict[str, float] = {}
         self.sick = False
         self.committing = False
+        # When a peer last heard of it, and our dealings with it as a machine of another's shard.
         self.elsewhere_at = -1e9
+        self.redirected_at = -1e9
+        self.stranger_at = -1e9
+        self.relaying = False
 
     def reset(self, now: float) -> None:
         """Forget what a worker said: this controller did not hold the shard until now."""
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -24,8 +24,8 @@
 from sagecove.coordination.workers import Workers
 from sagecove.protocol import state as wire
 from sagecove.protocol.cloud import MachineType
-from sagecove.protocol.peers import Hint, read_hint
-from sagecove.protocol.users import Refusal
+from sagecove.protocol.peers import Hint, read_hint, read_promise
+from sagecove.protocol.users import CANCELLED, Refusal
 from sagecove.storage import records as r
 from sagecove.storage import taskset
 from sagecove.storage.mirror import Event, Item, Mirror
@@ -252,6 +252,8 @@
                     if key.startswith(r.LIVE):
                         self._apply(Event(key, value, result.revision))
                     elif isinstance(value, r.OverRecord):
+                        if value.state == CANCELLED:
+                            self.leadership.cancels = max(self.leadership.cancels, result.revision)
                         self.users.final(key[len(r.OVER) :], value.state, value.tasks)
             done(result)
 
@@ -304,6 +306,7 @@
         self.mirror.loaded = True
         self._advance(self.page_ledger, self.page_begun)
         if first:
+            self.leadership.cancels = self.page_ledger
             log.info("loaded keys=%d ledger=%d", len(self.mirror.items), self.page_ledger)
 
     def _watch(self, now: float) -> None:
@@ -585,11 +588,23 @@
             running,
             hungry,
             [m.name for m in self.machines.values() if m.known],
+            self.workers.strangers(now),
             self.cancelled_lately,
         )
         self.cancelled_lately = []
         for peer in self.settings.peers:
-            self.call(peer.addr, "POST", "/hint", hint, 1.0, lambda _status, _body: None)
+            self.call(peer.addr, "POST", "/hint", hint, 1.0, self._hinted(peer.node, now))
+
+    def _hinted(self, node: str, sent: float) -> Done:
+        def done(status: int | None, body: bytes) -> None:
+            try:
+                answer = read_promise(body) if status == 200 else None
+            except (msgspec.MsgspecError, UnicodeDecodeError):
+                answer = None
+            if answer is not None:
+                self.leadership.promised(node, sent, answer)
+
+        return done
 
     def hint_cancel(self, job_id: str) -> None:
         """Let the peers look for a cancellation before their watch tells them."""
@@ -597,6 +612,9 @@
         self.hint_at = min(self.hint_at, self.now)
 
     def _peer(self, ask: Asked) -> None:
+        if ask.path == "/relay":
+            self.workers.report(ask.body, ask.exchange, relayed=True)
+            return
         try:
             hint = read_hint(ask.body)
         except (msgspec.MsgspecError, UnicodeDecodeError):
@@ -606,9 +624,12 @@
             self.hints[hint.node] = (self.now, hint)
             for job_id, (shard, count) in hint.hungry.items():
                 self.hungry[job_id] = (shard, count, self.now)
+            for name in hint.strangers:
+                if (machine := self.machines.get(name)) is not None:
+                    machine.elsewhere_at = self.now
             if any(job_id in self.jobs for job_id in hint.cancelled):
                 self.want_sync()
-        self.effects.append(Reply(ask.exchange, 200, {}))
+        self.effects.append(Reply(ask.exchange, 200, self.leadership.promise()))
 
     def running_elsewhere(self, job_id: str) -> int:
         """Running tasks of a job on other controllers' machines, for display."""
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -56,8 +56,8 @@
 
     # -- reports --------------------------------------------------------------------------------
 
-    def report(self, body: bytes, exchange: object) -> None:
-        """A worker reports."""
+    def report(self, body: bytes, exchange: object, relayed: bool = False) -> None:
+        """A worker reports, directly or by way of another controller."""
         owner = self.owner
         try:
             report = w.read_report(body)
@@ -73,8 +73,8 @@
         shard = owner.held.get(machine.record.shard)
         if shard is None or shard.yielding or not owner.leadership.acting(now):
             holder = owner.holder_of(machine.record.shard)
-            if holder is not None and holder != owner.settings.node:
-                owner.effects.append(Reply(exchange, 421, w.Redirect(holder)))
+            if holder is not None and holder != owner.settings.node and not relayed:
+                self._elsewhere(machine, holder, body, exchange)
             else:
                 owner.effects.append(Reply(exchange, 503, Refusal("no authority at the moment")))
             return
@@ -91,6 +91,43 @@
         owner.effects.append(Reply(exchange, 200, w.Answer(token, orders)))
         machine.urgent = False
 
+    def _elsewhere(self, machine: Machine, holder: str, body: bytes, exchange: object) -> None:
+        """A report for another holder: send the worker there; if it has just been sent and is
+        back, it can't get through, but this controller can: pass its report on."""
+        owner = self.owner
+        now = owner.now
+        addr = next((p.addr for p in owner.settings.peers if p.node == holder), None)
+        hint = owner.hints.get(holder)
+        reachable = hint is not None and now - hint[0] < 2.5
+        back = 0.7 < now - machine.redirected_at < self.pace.lease_s
+        if machine.relaying and now - machine.stranger_at < self.pace.lease_s:
+            back = True
+        machine.stranger_at = now
+        if addr is None or not reachable or not back:
+            machine.relaying = False
+            machine.redirected_at = now
+            owner.effects.append(Reply(exchange, 421, w.Redirect(holder)))
+            return
+        machine.relaying = True
+
+        def done(status: int | None, answer: bytes) -> None:
+            if status == 200:
+                owner.effects.append(Reply(exchange, 200, msgspec.Raw(answer)))
+            else:
+                machine.relaying = False
+                owner.effects.append(Reply(exchange, 503, Refusal("the holder does not answer")))
+
+        # Raw: the report goes on as it came.
+        owner.call(addr, "POST", "/relay", msgspec.Raw(body), self.call_s / 2, done)
+
+    def strangers(self, now: float) -> list[str]:
+        """Machines of other holders that have been seen here lately."""
+        return [
+            m.name
+            for m in self.owner.machines.values()
+            if now - m.stranger_at < 2 * self.pace.report_s
+        ]
+
     def _newer(self, machine: Machine, session: int, seq: int) -> bool:
         return session > machine.over_session and (session, seq) > (machine.session, machine.seq)
 
@@ -310,7 +347,9 @@
             if not owner.leadership.acting(now) or shard.yielding:
                 continue
             # When many fall silent at once, the fault is more likely on this side.
-            if len(quiet) > max(2, len(machines) // 4):
+            up = [m for m in machines if m.ever_heard]
+            heard = sum(1 for m in up if now - m.heard_at < 1.5 * self.pace.report_s)
+            if len(quiet) > max(2, len(machines) // 4) or 2 * heard < len(up):
                 continue
             for machine in quiet:
                 if (
--- a/sagecove/protocol/peers.py
+++ b/sagecove/protocol/peers.py
@@ -15,8 +15,20 @@
     hungry: dict[str, tuple[str, int]] = {}
     # Machines that have reported here.
     heard: list[str] = []
+    # Machines of others' shards that reported here lately: alive, but cut off from their holder.
+    strangers: list[str] = []
     # Jobs whose cancellation this controller has just made durable.
     cancelled: list[str] = []
 
 
+class Promise(msgspec.Struct):
+    """The answer to a hint from a controller that is itself refused by the state service: it will
+    act for no shard taken by lapse until `for_s` from now, and `cancels` is the revision of the
+    last cancellation it let through. The one message between controllers that a rule rests on."""
+
+    for_s: float = 0.0
+    cancels: int = 0
+
+
+read_promise = msgspec.json.Decoder(Promise).decode
 read_hint = msgspec.json.Decoder(Hint).decode
--- a/sagecove/service.py
+++ b/sagecove/service.py
@@ -95,7 +95,7 @@
             if len(self.clients) > self.settings.params.resources.fd_limit // 4:
                 self._drop_clients()
             host, port = split_address(address)
-            most = 24 if target == "state" else 4 if target == "cloud" else 2
+            most = 24 if target == "state" else 4
             client = Client(self.reactor, host, port, most, 2.0)
             self.clients[address] = client
         return client
--- a/sagecove/storage/records.py
+++ b/sagecove/storage/records.py
@@ -52,10 +52,14 @@
 
 
 class HolderRecord(msgspec.Struct):
-    """Who holds a shard or role, under which lease. The key's revision is the term."""
+    """Who holds a shard or role, under which lease. The key's revision is the term.
+
+    `vacated`: the holder before has stopped acting for the shard (it handed it over, or it was
+    an earlier process of the same node)."""
 
     node: str
     lease: int
+    vacated: bool = False
 
 
 class MemberRecord(msgspec.Struct):
