--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -90,11 +90,13 @@
             self.make_at = now + self.poll_s / 4
         for shard in shards:
             promised: Room = {}
-            machines = [m for m in owner.shard_machines(shard.name) if m.open]
+            every = [m for m in owner.shard_machines(shard.name) if m.open]
+            # Machines to be returned take no more tasks of arrays.
+            steady = [m for m in every if now >= m.drain_until]
             self.futile = Futile()
             self.futile_making = Futile()
-            self._place(now, shard, machines, ordered, promised)
-            self._compete(now, shard, machines, ordered, promised)
+            self._place(now, shard, every, steady, ordered, promised)
+            self._compete(now, shard, every, steady, ordered, promised)
         for team, name, record in owner.quota.trims(now):
             self._trim(team, owner.held[name], record)
 
@@ -199,14 +201,18 @@
         self,
         now: float,
         shard: Shard,
-        machines: list[Machine],
+        every: list[Machine],
+        steady: list[Machine],
         ordered: list[JobRun],
         promised: Room,
     ) -> None:
         """Place claimed tasks; make room for them; release those that find none."""
         owner = self.owner
         name = shard.name
+        # DESIGN: fuller machines are preferred while some await their return.
+        packing = any(not m.tasks for m in every)
         for job in ordered:
+            machines = steady if job.array else every
             bits = job.placeable(name)
             if not bits:
                 job.stuck_at.pop(name, None)
@@ -230,7 +236,7 @@
                 ]
             planned: list[tuple[int, Machine]] = []
             if indexes and not self.futile.known(job):
-                planned = plan(job, indexes, usable, owner.random, promised)
+                planned = plan(job, indexes, usable, owner.random, promised, packing)
                 for _, machine in planned:
                     promise(promised, machine.name, spec, -1)
                 if len(planned) < len(indexes) and not job.gang and usable is machines:
@@ -399,14 +405,16 @@
         self,
         now: float,
         shard: Shard,
-        machines: list[Machine],
+        every: list[Machine],
+        steady: list[Machine],
         ordered: list[JobRun],
         promised: Room,
     ) -> None:
         owner = self.owner
-        if not any(m.open for m in machines):
+        if not every:
             return
         for job in ordered:
+            machines = steady if job.array else every
             if self.open_claims >= BATCH:
                 return
             if job.committing or now < job.claim_after or now < job.hold_until:
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -178,6 +178,8 @@
         self.redirected_at = -1e9
         self.stranger_at = -1e9
         self.relaying = False
+        # The provisioner would return it: until then no tasks of arrays are placed on it.
+        self.drain_until = -1e9
 
     def reset(self, now: float) -> None:
         """Forget what a worker said: this controller did not hold the shard until now."""
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import logging
+from collections import deque
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -17,7 +18,7 @@
 from sagecove.coordination.effects import Answered, Asked, Call, Command, Effect, Reply
 from sagecove.coordination.leadership import Leadership
 from sagecove.coordination.model import JobRun, Machine, Placement, Shard
-from sagecove.coordination.placement import Room, keep_reserved, plan
+from sagecove.coordination.placement import Room, keep_reserved, plan, type_allowed
 from sagecove.coordination.provision import Provision
 from sagecove.coordination.quota import Quota
 from sagecove.coordination.users import Users
@@ -66,6 +67,7 @@
         # Jobs short of room in the shard that must have them: (shard, tasks, when said).
         self.hungry: dict[str, tuple[str, int, float]] = {}
         self.cancelled_lately: list[str] = []
+        self.arrivals: dict[str, deque[float]] = {}
         self.class_run: dict[str, float] = {}
         self.counts: dict[str, int] = {}
         self.synced_at = -1e9
@@ -399,6 +401,7 @@
         if job is None:
             job = self.jobs[job_id] = JobRun(event.value, event.stamp)
             job.seen_at = self.now
+            self._note_arrival(job)
         else:
             job.update(event.value, event.stamp)
 
@@ -518,25 +521,64 @@
         """Return machines that have been idle for long, but keep a little room for arrivals."""
         for name in self.acting_shards(now):
             idle: dict[tuple[str, bool], list[Machine]] = {}
-            for machine in self.shard_machines(name):
+            machines = self.shard_machines(name)
+            for machine in machines:
                 if not machine.empty or machine.record.leaving or machine.kind is None:
                     continue
                 if machine.notice:
                     self.workers.leave(machine, "spot notice")
                     continue
                 idle.setdefault((machine.record.type, machine.record.spot), []).append(machine)
-            for machines in idle.values():
-                machines.sort(key=lambda m: -m.idle_since)
-                kind = machines[0].kind
+            for group in idle.values():
+                group.sort(key=lambda m: -m.idle_since)
+                kind = group[0].kind
                 assert kind is not None
-                keep = 1 if kind.gpus == 0 and not machines[0].record.spot else 0
-                patience = max(15.0, 0.8 * kind.boot_s)
-                for machine in machines[keep:]:
+                patience = self._patience(kind)
+                keep = self._keep(kind, machines) if not group[0].record.spot else 0
+                for machine in group[keep:]:
                     age = self.wall() - machine.record.at
-                    if now - machine.idle_since > patience and age > 55.0:
+                    # A machine that is deleted costs 60 s at least: it may as well wait as long.
+                    drained = now < machine.drain_until and now - machine.idle_since > 2.0
+                    if (drained or now - machine.idle_since > patience) and age > 55.0:
                         log.info("idle machine returned machine=%s", machine.name)
                         self.workers.leave(machine, "idle")
 
+    def _patience(self, kind: MachineType) -> float:
+        """How long a machine may idle: longer where jobs come that need one of its own, since
+        those would have to wait for a boot."""
+        patience = max(15.0, 0.8 * kind.boot_s)
+        arrivals = self.arrivals.get(kind.name)
+        if arrivals and len(arrivals) > 1:
+            gap = (self.now - arrivals[0]) / len(arrivals)
+            patience = max(patience, min(2.5 * gap, 5 * kind.boot_s))
+        return patience
+
+    def _keep(self, kind: MachineType, machines: list[Machine]) -> int:
+        """Idle machines a shard keeps for services to come: none where others can make room."""
+        if kind.gpus > 0:
+            return 0
+        room = 0.0
+        for machine in machines:
+            if machine.open and not machine.record.spot and machine.tasks:
+                fixed = sum(
+                    p.job.spec.cpus
+                    for p in machine.tasks.values()
+                    if p.job is not None and p.live and p.job.priority == 3
+                )
+                room += (machine.kind.cpus if machine.kind else 0.0) - fixed
+        return 0 if room >= kind.cpus else 1
+
+    def _note_arrival(self, job: JobRun) -> None:
+        """Remember when jobs came whose task takes most of a machine."""
+        if job.array:
+            return
+        fitting = [t for t in self.types.values() if type_allowed(job.spec, t)]
+        if not fitting:
+            return
+        kind = min(fitting, key=lambda t: t.price)
+        if 2 * job.spec.cpus > kind.cpus or (kind.gpus > 0 and 2 * job.spec.gpus > kind.gpus):
+            self.arrivals.setdefault(kind.name, deque(maxlen=8)).append(self.now)
+
     # -- what is learned ------------------------------------------------------------------------
 
     def learned(self, placement: Placement) -> None:
@@ -589,12 +631,19 @@
             hungry,
             [m.name for m in self.machines.values() if m.known],
             self.workers.strangers(now),
+            self.provision.draining,
             self.cancelled_lately,
         )
+        self._drain(hint)
         self.cancelled_lately = []
         for peer in self.settings.peers:
             self.call(peer.addr, "POST", "/hint", hint, 1.0, self._hinted(peer.node, now))
 
+    def _drain(self, hint: Hint) -> None:
+        for name in hint.drain:
+            if (machine := self.machines.get(name)) is not None:
+                machine.drain_until = self.now + 4.0
+
     def _hinted(self, node: str, sent: float) -> Done:
         def done(status: int | None, body: bytes) -> None:
             try:
@@ -624,6 +673,7 @@
             self.hints[hint.node] = (self.now, hint)
             for job_id, (shard, count) in hint.hungry.items():
                 self.hungry[job_id] = (shard, count, self.now)
+            self._drain(hint)
             for name in hint.strangers:
                 if (machine := self.machines.get(name)) is not None:
                     machine.elsewhere_at = self.now
--- a/sagecove/coordination/placement.py
+++ b/sagecove/coordination/placement.py
@@ -59,7 +59,7 @@
     @staticmethod
     def _key(job: JobRun) -> tuple[object, ...]:
         spec = job.spec
-        return (tuple(spec.types) if spec.types else None, spec.zone, spec.spot)
+        return (tuple(spec.types) if spec.types else None, spec.zone, spec.spot, job.array)
 
     def known(self, job: JobRun, rank: object = None) -> bool:
         """Looking is known to be futile for a job (of this rank, where rank matters)."""
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -96,12 +96,15 @@
         self.listing: list[c.Listed] = []
         self.unlisted: dict[str, float] = {}
         self.term = 0
+        # Machines whose holders are asked to let them run empty.
+        self.draining: list[str] = []
 
     def tick(self, now: float) -> None:
         """Do what is due."""
         owner = self.owner
         term = owner.leadership.provisioner_term
         if not term or not owner.leadership.acting(now):
+            self.draining = []
             return
         if term != self.term:
             self.term = term
@@ -360,7 +363,8 @@
                 claimed = (other.unfinished & ~other.unclaimed).bit_count()
                 have -= claimed * self._weight(other)
         have = max(0.0, have) * 0.9
-        work = 0.0
+        work = peak = 0.0
+        needed_kinds: set[str] = set()
         for job in jobs:
             left = job.unfinished.bit_count()
             limit = owner.quota.teams.get(job.spec.team)
@@ -370,10 +374,14 @@
             weight = self._weight(job)
             run = max(1.0, owner.expected(job))
             work += left * run * weight
-            if not job.unclaimed or now - job.seen_at < 0.4:
-                continue
             # Nobody is through sooner than one task's run after the machine is there.
             soon = max(self._time_left(job) - 0.3 * run, 0.75 * run, 10.0)
+            peak = max(peak, work / soon)
+            fitting = [t for t in owner.types.values() if type_allowed(job.spec, t)]
+            if fitting:
+                needed_kinds.add(min(fitting, key=lambda t: t.price).name)
+            if not job.unclaimed or now - job.seen_at < 0.4:
+                continue
             lack = min(work / soon - have, job.unclaimed.bit_count() * weight)
             count = int(lack / weight + 0.5)
             if count <= 0 and not any(machine_allowed(job.spec, m) for m in usable):
@@ -381,6 +389,33 @@
             if count > 0:
                 self._fill(job, count, None, coming, wanted, now)
                 have += count * weight
+        self.draining = [] if wanted else self._spare(usable, 0.9 * have - peak, needed_kinds)
+
+    def _spare(self, machines: list[Machine], surplus: float, needed: set[str]) -> list[str]:
+        """The dearest machines that the arrays could do without: their holders let them run empty.
+
+        Cheapest types stay, since they are the ones to be rented next.
+        """
+        out = []
+        prices = [(self._price(m), m.name, m) for m in machines if m.kind is not None]
+        if not prices:
+            return []
+        cheapest = min(price for price, _, _ in prices)
+        for price, name, machine in sorted(prices, reverse=True, key=lambda p: p[:2]):
+            assert machine.kind is not None
+            if price < 1.5 * cheapest or surplus <= 0:
+                break
+            if machine.kind.cpus <= surplus and machine.record.type not in needed:
+                surplus -= machine.kind.cpus
+                out.append(name)
+        return out
+
+    def _price(self, machine: Machine) -> float:
+        """Price of a CPU."""
+        kind = machine.kind
+        assert kind is not None
+        price = kind.spot_price if machine.record.spot and kind.spot_price else kind.price
+        return price / max(kind.cpus, 0.1)
 
     def _weight(self, job: JobRun) -> float:
         """CPUs a task takes, or keeps others from taking because of its memory."""
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -185,7 +185,9 @@
         shard = owner.held.get(node)
         if shard is None or node not in owner.acting_shards(owner.now):
             return None
-        machines = owner.shard_machines(node)
+        machines = [
+            m for m in owner.shard_machines(node) if not job.array or owner.now >= m.drain_until
+        ]
         promised = owner.promised(node)
         owner.claims.futile = Futile()
         count = owner.claims.fitting(job, node, machines, promised)
--- a/sagecove/protocol/peers.py
+++ b/sagecove/protocol/peers.py
@@ -17,6 +17,8 @@
     heard: list[str] = []
     # Machines of others' shards that reported here lately: alive, but cut off from their holder.
     strangers: list[str] = []
+    # From the provisioner: machines the arrays could do without.
+    drain: list[str] = []
     # Jobs whose cancellation this controller has just made durable.
     cancelled: list[str] = []
 
