A late watch answer no longer brings a removed key back; reads are matched to requests by number

The answer of a long watch sent before the job ended came after that of a read that told of the end, and its older put passed for news. Ruled in by reasoning as a second way: a clock that stands still between a read and a later request. Also: room is made at submission for urgent and production work.

--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -298,7 +298,7 @@
         rank = (job.priority, job.within, spec.team if job.within else "")
         if self.futile_making.known(job, rank):
             return 0
-        candidates: list[tuple[float, Machine, list[Placement]]] = []
+        candidates: list[tuple[bool, float, Machine, list[Placement]]] = []
         counts = zone_counts(job)
         for machine in machines:
             if not machine.open or not machine_allowed(spec, machine):
@@ -330,13 +330,14 @@
                 loss += (now - p.started_at) * p.job.spec.cpus
                 room = [r + n for r, n in zip(room, _need(p.job), strict=True)]
             if slots(spec, (room[0], room[1], room[2])) >= 1:
-                candidates.append((loss, machine, chosen))
-        candidates.sort(key=lambda c: (c[0], c[1].name))
+                fetch = job.priority == 3 and spec.image not in machine.images
+                candidates.append((fetch, loss, machine, chosen))
+        candidates.sort(key=lambda c: (c[0], c[1], c[2].name))
         if not candidates:
             self.futile_making.add(job, rank)
         if job.gang and len(candidates) < count:
             return 0
-        for _, machine, chosen in candidates:
+        for _, _, machine, chosen in candidates:
             if making >= count:
                 break
             making += 1
@@ -432,12 +433,12 @@
             if self.making and count < wanted and now - job.seen_at > self.poll_s / 3:
                 able = owner.quota.claimable(shard.name, job.spec, wanted)
                 if able > count:
-                    count += self._could_make(job, able - count, machines, promised)
+                    count += self.could_make(job, able - count, machines, promised)
             if not count or (job.whole and count < wanted):
                 continue
             self.claim(job, shard, taskset.lowest(bits, count))
 
-    def _could_make(self, job: JobRun, count: int, machines: list[Machine], promised: Room) -> int:
+    def could_make(self, job: JobRun, count: int, machines: list[Machine], promised: Room) -> int:
         """How many tasks would fit if others were stopped for them (nothing is stopped yet)."""
         making = 0
         spec = job.spec
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -330,6 +330,8 @@
         self.store.watch(now, r.LIVE, self.mirror.applied, 0.0, self._changes(now, True))
 
     def _changes(self, begun: float, sync: bool) -> Done:
+        asked = self.users.asked
+
         def done(status: int | None, body: bytes) -> None:
             if sync:
                 self.syncing = False
@@ -347,7 +349,7 @@
                 # Only a read that answers at once proves that nothing newer was there before it.
                 self._advance(answer.revision, begun)
                 if sync:
-                    self.users.read_done(begun, True)
+                    self.users.read_done(asked, True)
                     if self.users.waiting:
                         self.sync_wanted = True
                 return
@@ -355,12 +357,12 @@
                 self.mirror.loaded = False
                 self.loading = False
                 if sync:
-                    self.users.read_done(begun, False)
+                    self.users.read_done(asked, False)
                 return
             if sync:
                 self.sync_failed_at = self.now
                 self.sync_at = self.now + self.random.uniform(0.15, 0.4)
-                self.users.read_done(begun, False)
+                self.users.read_done(asked, False)
                 self.sync_wanted = True
             else:
                 self.watch_at = self.now + self.random.uniform(0.3, 0.8)
--- a/sagecove/coordination/placement.py
+++ b/sagecove/coordination/placement.py
@@ -171,8 +171,9 @@
             name = machine.name
             if left[name] <= 0 or counts.get(machine.record.zone, 0) >= cap:
                 continue
-            # A service's replicas on one machine fail together: spread them where there is room.
-            full = (order[0], here.get(name, 0), *order[1:]) if job.service else order
+            # A service's replicas on one machine fail together: spread them where there is room,
+            # but not at the price of an image's fetch.
+            full = (*order[:2], here.get(name, 0), order[2]) if job.service else order
             if best_rank is None or full < best_rank:
                 best, best_rank = [machine], full
             elif full == best_rank:
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -38,8 +38,10 @@
         self.owner = owner
         # Final states, bounded; what fell out is read again.
         self.finals: OrderedDict[str, tuple[str, int]] = OrderedDict()
-        # Requests that wait for a read: (arrived, kind, job id, exchange).
-        self.waiting: list[tuple[float, str, str, Any]] = []
+        # Requests that wait for a read: (number, kind, job id, exchange). Numbered, for the clock
+        # may stand still between a read that has been sent and a request that comes after it.
+        self.waiting: list[tuple[int, str, str, Any]] = []
+        self.asked = 0
         self.reading: dict[str, list[tuple[str, Any]]] = {}
         self.submitting: dict[str, list[Any]] = {}
 
@@ -189,8 +191,15 @@
             m for m in owner.shard_machines(node) if not job.array or owner.now >= m.drain_until
         ]
         promised = owner.promised(node)
-        owner.claims.futile = Futile()
-        count = owner.claims.fitting(job, node, machines, promised)
+        claims = owner.claims
+        claims.futile = claims.futile_making = Futile()
+        count = claims.fitting(job, node, machines, promised)
+        if count < job.spec.tasks and job.priority >= 2:
+            # Users wait for these: room is made at once where it may be.
+            able = owner.quota.claimable(node, job.spec, job.spec.tasks)
+            if able > count:
+                count += claims.could_make(job, able - count, machines, promised)
+                claims.make_at = 0.0
         if not count or (job.whole and count < job.spec.tasks):
             return None
         bits = taskset.lowest(job.every, count)
@@ -219,16 +228,17 @@
         elif len(self.waiting) > 2000:
             self.later(exchange, "too many requests at once", 2.0)
         else:
-            self.waiting.append((owner.now, kind, job_id, exchange))
+            self.asked += 1
+            self.waiting.append((self.asked, kind, job_id, exchange))
             owner.want_sync()
 
-    def read_done(self, begun: float, good: bool) -> None:
-        """A read of all changes begun at `begun` has ended."""
+    def read_done(self, asked: int, good: bool) -> None:
+        """A read has ended that was sent after request number `asked` had come in."""
         owner = self.owner
-        ready = [entry for entry in self.waiting if entry[0] <= begun or not good]
+        ready = [entry for entry in self.waiting if entry[0] <= asked or not good]
         if not ready:
             return
-        self.waiting = [e for e in self.waiting if e[0] > begun] if good else []
+        self.waiting = [e for e in self.waiting if e[0] > asked] if good else []
         for _, kind, job_id, exchange in ready:
             if not good:
                 self.later(exchange, "the state service does not answer", owner.retry_hint())
--- a/sagecove/storage/mirror.py
+++ b/sagecove/storage/mirror.py
@@ -38,6 +38,10 @@
 
     def apply(self, event: Event) -> bool:
         """Take one change unless something newer is known; True if anything changed."""
+        if event.stamp <= self.applied:
+            # Answers overtake one another: a put that a long watch delivers late must not bring
+            # back a key whose removal a later read has already told of.
+            return False
         old = self.items.get(event.key)
         known = old.stamp if old else self._dropped.get(event.key, 0)
         if event.stamp <= known:
--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,60 @@
+"""Stories of what is kept in the state service."""
+
+from random import Random
+
+from sagecove.storage import taskset
+from sagecove.storage.budget import Budget
+from sagecove.storage.mirror import Event, Item, Mirror
+
+
+def test_a_late_watch_answer_does_not_bring_a_key_back() -> None:
+    # On a bench day a job that was done became pending again: the answer of a long watch, sent
+    # before the job ended, came after that of a read which told of the end.
+    mirror = Mirror()
+    mirror.apply(Event("s/job/1", "a", 5))
+    mirror.apply(Event("s/job/1", None, 7))
+    mirror.advance(7)
+    assert not mirror.apply(Event("s/job/1", "a", 5))
+    assert "s/job/1" not in mirror.items
+
+
+def test_own_commit_ahead_of_the_watch() -> None:
+    mirror = Mirror()
+    mirror.advance(4)
+    mirror.apply(Event("k", None, 9))
+    assert not mirror.apply(Event("k", "old", 6))
+    assert mirror.apply(Event("k", "new", 10))
+    mirror.advance(10)
+    assert mirror.stamp("k") == 10
+
+
+def test_fresh_listing_after_a_lost_watch() -> None:
+    mirror = Mirror()
+    for n, key in enumerate("abc", 1):
+        mirror.apply(Event(key, key, n))
+    mirror.advance(3)
+    for event in mirror.differences({"a": Item("a", 1), "b": Item("B", 6), "d": Item("d", 5)}, 6):
+        mirror.apply(event)
+    mirror.advance(6)
+    assert {k: i.value for k, i in mirror.items.items()} == {"a": "a", "b": "B", "d": "d"}
+
+
+def test_task_sets_survive_their_text_form_and_fit_a_record() -> None:
+    random = Random(3)
+    for bits in (0, 1, taskset.full(100_000), random.getrandbits(1000), random.getrandbits(33)):
+        assert taskset.decode(taskset.encode(bits)) == bits
+        assert sum(1 << i for i in taskset.members(bits)) == bits
+    worst = random.getrandbits(100_000)
+    assert taskset.decode(taskset.encode(worst)) == worst
+    assert len(taskset.encode(worst)) < 16_000
+    assert list(taskset.members(taskset.lowest(0b101101, 2))) == [0, 2]
+
+
+def test_budget_allows_a_burst_and_then_its_rate() -> None:
+    budget = Budget(10.0, 5.0, 0.0)
+    spent = 0
+    for tick in range(200):
+        while budget.delay(tick / 100) <= 0:
+            budget.spend(tick / 100)
+            spent += 1
+    assert 23 <= spent <= 26
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -1,9 +1,11 @@
 """Stories of the whole service against stand-ins."""
 
 import json
+from typing import Any
 
 import pytest
 
+from sagecove.coordination.effects import Answered, Asked, Call, Reply
 from sagecove.storage.store import Outcome, Result
 from tests.world import World, job
 
@@ -352,3 +354,25 @@
     assert quota.allotted("n0", "blue") == (0.0, 0.0)
     owner.claims.trimmed(shard, "blue", (stamp, (0.0, 0.0)), Result(Outcome.CONFLICT))
     assert ("n0", "blue") not in quota.shrinking
+
+
+def test_a_poll_is_not_answered_by_a_read_sent_before_it(world: World) -> None:
+    world.submit("n0", job(1, shape="service", hands=1))
+    owner = world.owners["n1"]
+    answers: list[int] = []
+
+    def ask() -> list[Any]:
+        path = "/api/jobs/run-000001"
+        reply = lambda status, body: answers.append(status)  # noqa: E731
+        return [Asked("GET", path, b"", reply)]
+
+    world.run(1)
+    now = world.now
+    first = [e for e in owner.handle(ask(), now, now) if isinstance(e, Call) and "/watch" in e.path]
+    assert len(first) == 1
+    # The clock has not moved on, but the read has been sent already.
+    owner.handle(ask(), now, now)
+    body = b'{"ledger":%d,"events":[]}' % owner.mirror.applied
+    effects = owner.handle([Answered(first[0].token, 200, body)], now, now)
+    assert len([e for e in effects if isinstance(e, Reply)]) == 1
+    assert len(owner.users.waiting) == 1
