--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -67,6 +67,8 @@
         self.make_at = 0.0
         # Of the pass and shard at hand.
         self.making = False
+        self.packing = False
+        self.withheld: dict[str, JobRun] = {}
         self.futile = Futile()
         self.futile_making = Futile()
         self.retries: list[tuple[JobRun, Shard, dict[str, int], int]] = []
@@ -95,8 +97,16 @@
             steady = [m for m in every if now >= m.drain_until]
             self.futile = Futile()
             self.futile_making = Futile()
-            self._place(now, shard, every, steady, ordered, promised)
-            self._compete(now, shard, every, steady, ordered, promised)
+            self.withheld = self._withhold(shard, every, ordered)
+            # DESIGN: fuller machines are preferred while some await their return.
+            self.packing = any(not m.tasks for m in every)
+            # One order for what is claimed and what is not: else the room for a claim that is
+            # under way would go to whoever comes after it.
+            for job in ordered:
+                machines = steady if job.array else every
+                self._place(now, shard, machines, job, promised)
+                if every:
+                    self._compete(now, shard, machines, job, promised)
         for team, name, record in owner.quota.trims(now):
             self._trim(team, owner.held[name], record)
 
@@ -197,74 +207,87 @@
 
     # -- placing --------------------------------------------------------------------------------
 
+    def _withhold(
+        self, shard: Shard, machines: list[Machine], ordered: list[JobRun]
+    ) -> dict[str, JobRun]:
+        """While a job waits whose task takes most of a machine, arrays leave its room free on the
+        machines it may use: it would only have to stop them again."""
+        out: dict[str, JobRun] = {}
+        for job in ordered:
+            if not job.gang or job.placed or not (job.unclaimed or job.placeable(shard.name)):
+                continue
+            for machine in machines:
+                kind = machine.kind
+                if kind is None or machine.name in out or not machine_allowed(job.spec, machine):
+                    continue
+                if 2 * job.spec.cpus > kind.cpus or 2 * job.spec.gpus > kind.gpus > 0:
+                    out[machine.name] = job
+        return out
+
+    def _unreserve(self, job: JobRun, shard: str) -> None:
+        for name in [n for n in job.reserved if n in self.owner.by_shard.get(shard, {})]:
+            del job.reserved[name]
+
     def _place(
-        self,
-        now: float,
-        shard: Shard,
-        every: list[Machine],
-        steady: list[Machine],
-        ordered: list[JobRun],
-        promised: Room,
+        self, now: float, shard: Shard, machines: list[Machine], job: JobRun, promised: Room
     ) -> None:
         """Place claimed tasks; make room for them; release those that find none."""
         owner = self.owner
         name = shard.name
-        # DESIGN: fuller machines are preferred while some await their return.
-        packing = any(not m.tasks for m in every)
-        for job in ordered:
-            machines = steady if job.array else every
-            bits = job.placeable(name)
-            if not bits:
-                job.stuck_at.pop(name, None)
-                job.reserved.clear()
-                continue
-            if now < job.hold_until or (job.gang and job.placed):
-                continue
-            spec = job.spec
-            wanted = bits.bit_count()
-            allowed = owner.quota.places(name, spec, wanted)
-            indexes: list[int] = []
-            if allowed >= wanted or (allowed > 0 and not job.gang):
-                indexes = list(taskset.members(taskset.lowest(bits, min(allowed, 1000))))
-            usable = machines
-            if not job.array:
-                # An earlier attempt that has exited is still to be removed from some.
-                usable = [
-                    m
-                    for m in machines
-                    if not any(p.job is job and not p.live for p in m.tasks.values())
-                ]
-            planned: list[tuple[int, Machine]] = []
-            if indexes and not self.futile.known(job):
-                planned = plan(job, indexes, usable, owner.random, promised, packing)
-                for _, machine in planned:
-                    promise(promised, machine.name, spec, -1)
-                if len(planned) < len(indexes) and not job.gang and usable is machines:
-                    self.futile.add(job)
-            if planned:
-                attempt = shard.next_attempt()
-                for index, machine in planned:
-                    self._start(now, job, index, machine, attempt)
-            left = wanted - len(planned)
-            if not left:
-                job.stuck_at.pop(name, None)
-                job.reserved.clear()
-                continue
-            if now > job.reserved_until:
-                job.reserved.clear()
+        bits = job.placeable(name)
+        if not bits:
+            job.stuck_at.pop(name, None)
+            self._unreserve(job, name)
+            return
+        if now < job.hold_until or (job.gang and job.placed):
+            return
+        spec = job.spec
+        wanted = bits.bit_count()
+        allowed = owner.quota.places(name, spec, wanted)
+        indexes: list[int] = []
+        if allowed >= wanted or (allowed > 0 and not job.gang):
+            indexes = list(taskset.members(taskset.lowest(bits, min(allowed, 1000))))
+        usable = machines
+        if not job.array:
+            # An earlier attempt that has exited is still to be removed from some.
+            usable = [
+                m
+                for m in machines
+                if not any(p.job is job and not p.live for p in m.tasks.values())
+            ]
+        planned: list[tuple[int, Machine]] = []
+        if indexes and not self.futile.known(job):
+            planned = plan(
+                job, indexes, usable, owner.random, promised, self.packing, self.withheld
+            )
             for _, machine in planned:
-                if job.reserved.get(machine.name, 0) > 0:
-                    job.reserved[machine.name] -= 1
-            making = sum(job.reserved.values())
-            keep_reserved(promised, job)
-            if len(indexes) - len(planned) > making and self.making:
-                making += self._make_room(
-                    now, job, len(indexes) - len(planned) - making, machines, promised
-                )
-            since = job.stuck_at.setdefault(name, now)
-            if not self.making or making >= left or now - since < self.poll_s or job.committing:
-                continue
-            self._release(now, job, shard)
+                promise(promised, machine.name, spec, -1)
+            if len(planned) < len(indexes) and not job.gang and usable is machines:
+                self.futile.add(job)
+        if planned:
+            attempt = shard.next_attempt()
+            for index, machine in planned:
+                self._start(now, job, index, machine, attempt)
+        left = wanted - len(planned)
+        if not left:
+            job.stuck_at.pop(name, None)
+            self._unreserve(job, name)
+            return
+        if now > job.reserved_until:
+            job.reserved.clear()
+        for _, machine in planned:
+            if job.reserved.get(machine.name, 0) > 0:
+                job.reserved[machine.name] -= 1
+        making = sum(job.reserved.values())
+        keep_reserved(promised, job)
+        if len(indexes) - len(planned) > making and self.making:
+            making += self._make_room(
+                now, job, len(indexes) - len(planned) - making, machines, promised
+            )
+        since = job.stuck_at.setdefault(name, now)
+        if not self.making or making >= left or now - since < self.poll_s or job.committing:
+            return
+        self._release(now, job, shard)
 
     def _start(self, now: float, job: JobRun, index: int, machine: Machine, attempt: int) -> None:
         owner = self.owner
@@ -397,46 +420,40 @@
         if not wanted:
             return 0
         indexes = list(taskset.members(taskset.lowest(bits, min(wanted, 1000))))
-        count = len(plan(job, indexes, machines, self.owner.random, promised))
+        count = len(plan(job, indexes, machines, self.owner.random, promised, False, self.withheld))
         if count < len(indexes) and not job.gang:
             self.futile.add(job)
         return count
 
     def _compete(
-        self,
-        now: float,
-        shard: Shard,
-        every: list[Machine],
-        steady: list[Machine],
-        ordered: list[JobRun],
-        promised: Room,
+        self, now: float, shard: Shard, machines: list[Machine], job: JobRun, promised: Room
     ) -> None:
         owner = self.owner
-        if not every:
+        if job.claiming is not None and job.claiming[0] == shard.name:
+            indexes = list(taskset.members(taskset.lowest(job.claiming[1], 1000)))
+            plan(job, indexes, machines, owner.random, promised)
             return
-        for job in ordered:
-            machines = steady if job.array else every
-            if self.open_claims >= BATCH:
-                return
-            if job.committing or now < job.claim_after or now < job.hold_until:
-                continue
-            bits = job.unclaimed
-            if not bits or (job.whole and bits != job.every & ~job.fin):
-                continue
-            wanted = bits.bit_count()
-            count = 0
-            if not self.futile.known(job):
-                count = self.fitting(job, shard.name, machines, promised)
-            if job.whole and count < wanted and not job.gang and now - job.seen_at > self.poll_s:
-                # A service that must be decided in one place starts with what there is.
-                count = wanted if count else 0
-            if self.making and count < wanted and now - job.seen_at > self.poll_s / 3:
-                able = owner.quota.claimable(shard.name, job.spec, wanted)
-                if able > count:
-                    count += self.could_make(job, able - count, machines, promised)
-            if not count or (job.whole and count < wanted):
-                continue
-            self.claim(job, shard, taskset.lowest(bits, count))
+        if self.open_claims >= BATCH:
+            return
+        if job.committing or now < job.claim_after or now < job.hold_until:
+            return
+        bits = job.unclaimed
+        if not bits or (job.whole and bits != job.every & ~job.fin):
+            return
+        wanted = bits.bit_count()
+        count = 0
+        if not self.futile.known(job):
+            count = self.fitting(job, shard.name, machines, promised)
+        if job.whole and count < wanted and not job.gang and now - job.seen_at > self.poll_s:
+            # A service that must be decided in one place starts with what there is.
+            count = wanted if count else 0
+        if self.making and count < wanted and now - job.seen_at > self.poll_s / 3:
+            able = owner.quota.claimable(shard.name, job.spec, wanted)
+            if able > count:
+                count += self.could_make(job, able - count, machines, promised)
+        if not count or (job.whole and count < wanted):
+            return
+        self.claim(job, shard, taskset.lowest(bits, count))
 
     def could_make(self, job: JobRun, count: int, machines: list[Machine], promised: Room) -> int:
         """How many tasks would fit if others were stopped for them (nothing is stopped yet)."""
@@ -470,9 +487,11 @@
         changes, conditions = self.claim_changes(job.spec.team, shard, job, bits)
         self.open_claims += 1
         job.committing = True
+        job.claiming = (shard.name, bits)
 
         def done(result: Result) -> None:
             job.committing = False
+            job.claiming = None
             self.open_claims -= 1
             owner.dirty = True
             if result.outcome is Outcome.DONE:
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -40,6 +40,8 @@
         self.reserved: dict[str, int] = {}
         self.reserved_until = 0.0
         self.committing = False
+        # A claim under way: shard and tasks.
+        self.claiming: tuple[str, int] | None = None
         self.claim_after = 0.0
         self.seen_at = 0.0
         self.stuck_at: dict[str, float] = {}
--- a/sagecove/coordination/placement.py
+++ b/sagecove/coordination/placement.py
@@ -121,6 +121,25 @@
     return counts
 
 
+def _beside(
+    machine: Machine, large: Job, room: tuple[float, float, float]
+) -> tuple[float, float, float]:
+    """What arrays may still take of a machine beside a large task that waits for it."""
+    kind = machine.kind
+    assert kind is not None
+    cpus, gpus, memory = (
+        kind.cpus - large.cpus,
+        kind.gpus - large.gpus,
+        kind.memory_gb - large.memory_gb,
+    )
+    for placement in machine.tasks.values():
+        if placement.live and placement.job is not None and placement.job.array:
+            cpus -= placement.job.spec.cpus
+            gpus -= placement.job.spec.gpus
+            memory -= placement.job.spec.memory_gb
+    return min(cpus, room[0]), min(gpus, room[1]), min(memory, room[2])
+
+
 def plan(
     job: JobRun,
     indexes: list[int],
@@ -128,6 +147,7 @@
     random: Random,
     promised: Room,
     packing: bool = False,
+    withheld: dict[str, JobRun] | None = None,
 ) -> list[tuple[int, Machine]]:
     """Machines for as many of the tasks as fit (for a gang: all or none).
 
@@ -136,7 +156,10 @@
     spec = job.spec
     open_machines: list[tuple[Machine, int]] = []
     for machine in machines:
-        count = slots(spec, room_of(machine, promised))
+        room = room_of(machine, promised)
+        if withheld and job.array and machine.name in withheld:
+            room = _beside(machine, withheld[machine.name].spec, room)
+        count = slots(spec, room)
         if count > 0 and machine.open and machine_allowed(spec, machine):
             open_machines.append((machine, count))
     if not open_machines:
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -38,6 +38,9 @@
 
 Done = Callable[[int | None, bytes], None]
 
+# Arrays are not rented for at more than this many times their cheapest price.
+DEAR = 6.0
+
 
 @dataclasses.dataclass(slots=True)
 class Coming:
@@ -251,12 +254,12 @@
         out = []
         spec = job.spec
         left = max(1, job.unfinished.bit_count())
+        kinds = self.owner.types.values()
+        nominal = min((self._nominal(spec, kind) for kind in kinds), default=0.0)
         for kind in self.owner.types.values():
             if not type_allowed(spec, kind):
                 continue
-            fit = slots(spec, (kind.cpus, kind.gpus, kind.memory_gb))
-            if fit < 1:
-                continue
+            fit = self._fit(spec, kind)
             for zone in kind.zones:
                 if spec.zone is not None and zone != spec.zone:
                     continue
@@ -264,12 +267,26 @@
                     if self.full_until.get((kind.name, zone, spot), 0.0) > now:
                         continue
                     price = kind.spot_price if spot and kind.spot_price else kind.price
+                    # Late work costs a multiple of its cheapest price; beyond that, better late.
+                    if job.array and price / fit > DEAR * nominal:
+                        continue
                     # Spot machines may be taken: count some of the work as lost.
                     cost = price * (1.15 if spot else 1.0) / min(fit, left)
                     out.append((cost + self.owner.random.random() * 1e-6, kind, zone, spot))
         out.sort(key=lambda o: o[0])
         return out
 
+    @staticmethod
+    def _fit(spec: Job, kind: MachineType) -> int:
+        return max(1, slots(spec, (kind.cpus, kind.gpus, kind.memory_gb)))
+
+    def _nominal(self, spec: Job, kind: MachineType) -> float:
+        """Lowest price of a task on a full machine of a type."""
+        if not type_allowed(spec, kind):
+            return float("inf")
+        price = kind.spot_price if spec.spot and kind.spot_price else kind.price
+        return price / self._fit(spec, kind)
+
     def _rent_what_lacks(self, now: float) -> None:
         """Rent for tasks that nobody has room for, beyond what is booting already."""
         owner = self.owner
