--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -257,9 +257,9 @@
             ]
         planned: list[tuple[int, Machine]] = []
         if indexes and not self.futile.known(job):
-            planned = plan(
-                job, indexes, usable, owner.random, promised, self.packing, self.withheld
-            )
+            # Services stay long: spread thinly, they would keep every machine from its return.
+            packing = self.packing or job.service
+            planned = plan(job, indexes, usable, owner.random, promised, packing, self.withheld)
             for _, machine in planned:
                 promise(promised, machine.name, spec, -1)
             if len(planned) < len(indexes) and not job.gang and usable is machines:
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -422,7 +422,9 @@
             assert machine.kind is not None
             if price < 1.5 * cheapest or surplus <= 0:
                 break
-            if machine.kind.cpus <= surplus and machine.record.type not in needed:
+            kind = machine.kind
+            cheaper = bool(kind.spot_price) and not machine.record.spot
+            if kind.cpus <= surplus and (cheaper or kind.name not in needed):
                 surplus -= machine.kind.cpus
                 out.append(name)
         return out
