--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -36,10 +36,10 @@
 BATCH = 4
 
 
-def precedence(job: JobRun) -> tuple[bool, bool, int, float, float]:
-    """Order of claims: production, then guarantees, then priority, then deadline or age."""
-    due = job.at + job.spec.deadline_s if job.spec.deadline_s is not None else float("inf")
-    return *standing(job), due, job.at
+def precedence(job: JobRun) -> tuple[bool, bool, int, int, float, float]:
+    """Order of claims: production, then guarantees, then priority; among equals as `Owner.rank`
+    has it, and by age."""
+    return *standing(job), *job.order, job.at
 
 
 def standing(job: JobRun) -> tuple[bool, bool, int]:
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -25,6 +25,8 @@
         self.every = taskset.full(self.spec.tasks)
         self.priority = PRIORITIES[self.spec.priority]
         self.within = False
+        # Among jobs of equal standing: see `Owner.rank`.
+        self.order = (0, 0.0)
         # Durable sets, from the record.
         self.fin = 0
         self.claims: dict[str, int] = {}
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -68,6 +68,7 @@
         self.hungry: dict[str, tuple[str, int, float]] = {}
         self.cancelled_lately: list[str] = []
         self.arrivals: dict[str, deque[float]] = {}
+        self.class_dues: dict[str, list[tuple[bool, float]]] = {}
         self.class_run: dict[str, float] = {}
         self.counts: dict[str, int] = {}
         self.synced_at = -1e9
@@ -156,6 +157,9 @@
     def _pass(self, now: float) -> None:
         self.quota.forget()
         self.quota.assign_guarantees(list(self.jobs.values()))
+        for job in self.jobs.values():
+            if job.array:
+                self.rank(job)
         self.claims.run(now)
 
     # -- requests -------------------------------------------------------------------------------
@@ -598,6 +602,36 @@
         fetch = job.spec.image_gb / kind.fetch_gb_per_s if kind and kind.fetch_gb_per_s else 0.0
         return job.spec.estimate_s * self.class_run.get(job.spec.klass, 1.0) + 0.5 * fetch
 
+    def dues(self, job: JobRun) -> list[float]:
+        """The ages by which a job's class is expected to be through, from the settings."""
+        known = self.class_dues.get(job.spec.klass)
+        if known is None:
+            known = []
+            for aim in self.settings.params.objectives:
+                if aim.klass == job.spec.klass:
+                    if aim.kind == "deadline":
+                        known.append((True, aim.times or 1.0))
+                    elif aim.kind in ("finished", "wait") and aim.within_s:
+                        known.append((False, aim.within_s))
+            self.class_dues[job.spec.klass] = known
+        deadline = job.spec.deadline_s
+        if deadline is not None and not any(relative for relative, _ in known):
+            known = [*known, (True, 1.0)]
+        return sorted(
+            value * (deadline or 300.0) if relative else value for relative, value in known
+        ) or [300.0]
+
+    def rank(self, job: JobRun) -> None:
+        """Order among arrays of equal standing. When there is more work than machines, serving in
+        order of age makes everybody late; so what can still be in time goes first, the least work
+        first, and what cannot goes after it, though not for ever."""
+        age = self.wall() - job.at
+        run = self.expected(job)
+        dues = self.dues(job)
+        feasible = any(age + run <= due for due in dues) or age > 2 * dues[-1]
+        work = job.unfinished.bit_count() * run * max(job.spec.cpus, 0.1)
+        job.order = (0, work) if feasible else (1, job.at)
+
     def finish_within(self, job: JobRun) -> float:
         """How long a job may take from its submission, by its deadline or its class's aims."""
         if job.spec.deadline_s is not None:
