--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -19,6 +19,7 @@
     promise,
     room_of,
     slots,
+    suits,
     zone_counts,
 )
 from sagecove.protocol import state as wire
@@ -324,7 +325,7 @@
         candidates: list[tuple[bool, float, Machine, list[Placement]]] = []
         counts = zone_counts(job)
         for machine in machines:
-            if not machine.open or not machine_allowed(spec, machine):
+            if not machine.open or not suits(job, machine):
                 continue
             if spec.one_zone and counts and machine.record.zone not in counts:
                 continue
@@ -466,7 +467,7 @@
         for machine in machines:
             if making >= count:
                 break
-            if not machine.open or not machine_allowed(spec, machine):
+            if not machine.open or not suits(job, machine):
                 continue
             room = list(room_of(machine, promised))
             for p in machine.tasks.values():
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -25,6 +25,10 @@
         self.every = taskset.full(self.spec.tasks)
         self.priority = PRIORITIES[self.spec.priority]
         self.within = False
+        # A service that other machines suit stays off those with GPUs: it would keep them from
+        # the jobs that need them, for good. Unless it has lacked room for long.
+        self.off_gpus = False
+        self.lacking_since: float | None = None
         # Among jobs of equal standing: see `Owner.rank`.
         self.order = (0, 0.0)
         # Durable sets, from the record.
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -160,6 +160,8 @@
         for job in self.jobs.values():
             if job.array:
                 self.rank(job)
+            elif job.service:
+                self.settle(job)
         self.claims.run(now)
 
     # -- requests -------------------------------------------------------------------------------
@@ -632,6 +634,19 @@
         work = job.unfinished.bit_count() * run * max(job.spec.cpus, 0.1)
         job.order = (0, work) if feasible else (1, job.at)
 
+    def settle(self, job: JobRun) -> None:
+        """Where a service may go, see `JobRun.off_gpus`."""
+        if not job.unclaimed and not any(job.placeable(shard) for shard in self.held):
+            job.lacking_since = None
+        elif job.lacking_since is None:
+            job.lacking_since = self.now
+        spec = job.spec
+        job.off_gpus = (
+            spec.gpus == 0
+            and any(t.gpus == 0 and type_allowed(spec, t) for t in self.types.values())
+            and (job.lacking_since is None or self.now - job.lacking_since < 10.0)
+        )
+
     def finish_within(self, job: JobRun) -> float:
         """How long a job may take from its submission, by its deadline or its class's aims."""
         if job.spec.deadline_s is not None:
--- a/sagecove/coordination/placement.py
+++ b/sagecove/coordination/placement.py
@@ -34,6 +34,14 @@
     )
 
 
+def suits(job: JobRun, machine: Machine) -> bool:
+    """The job allows this machine, and should be there."""
+    kind = machine.kind
+    return machine_allowed(job.spec, machine) and not (
+        job.off_gpus and kind is not None and kind.gpus > 0
+    )
+
+
 def slots(spec: Job, room: tuple[float, float, float]) -> int:
     """How many tasks fit a room."""
     cpus, gpus, memory = room
@@ -160,7 +168,7 @@
         if withheld and job.array and machine.name in withheld:
             room = _beside(machine, withheld[machine.name].spec, room)
         count = slots(spec, room)
-        if count > 0 and machine.open and machine_allowed(spec, machine):
+        if count > 0 and machine.open and suits(job, machine):
             open_machines.append((machine, count))
     if not open_machines:
         return []
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -141,7 +141,10 @@
         record = JobRecord(spec, owner.wall())
         conditions = [(JOB + job_id, 0), (OVER + job_id, 0)]
         changes: list[wire.Put | wire.Drop] = [wire.Put(JOB + job_id, record)]
-        claimed = self._claim_now(JobRun(record, 0))
+        run = JobRun(record, 0)
+        if run.service:
+            owner.settle(run)
+        claimed = self._claim_now(run)
         if claimed is not None:
             changes, more = claimed
             conditions += more
