--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -167,7 +167,7 @@
     # -- requests -------------------------------------------------------------------------------
 
     def _asked(self, ask: Asked) -> None:
-        path = ask.path
+        path = ask.path.partition("?")[0]
         if ask.peer:
             self._peer(ask)
         elif path == "/hello":
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -90,6 +90,10 @@
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
             self._reply(exchange, 400, u.Refusal(str(error)[:300]))
             return
+        if len(body) > owner.settings.params.state.value_kb * 512:
+            # Its record would not fit the state service, beside the sets of its tasks.
+            self._reply(exchange, 400, u.Refusal("the submission is too long"))
+            return
         if job.id in self.finals:
             self._tell_final("submit", job.id, exchange)
             return
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -199,6 +199,8 @@
                 gone = not placement.in_flight
             if gone:
                 self.drop(machine, placement)
+        if machine.notice:
+            self._save(machine)
         if machine.strays or strays:
             owner.quota.forget()
         machine.strays = strays
@@ -206,6 +208,13 @@
             owner.machine_known(machine)
         owner.dirty = True
 
+    def _save(self, machine: Machine) -> None:
+        """The machine will be taken: what can save stops in time; the rest may yet complete."""
+        for placement in list(machine.tasks.values()):
+            job = placement.job
+            if job is not None and job.spec.checkpoint_s > 0 and placement.live:
+                self.halt(placement, 1.2 * job.spec.save_s, "spot notice")
+
     def _recognize(self, machine: Machine, hand: w.Hand) -> Placement | None:
         """A reported task that this process did not place: one of an earlier holder?"""
         job_id, index = split_task(hand.task)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -64,6 +64,7 @@
         assert status == 422 and body["error"]
     assert world.user("n0", "GET", "/api/jobs/run-000009")[0] == 404
     assert world.user("n0", "GET", "/api/nothing")[0] == 404
+    assert world.user("n0", "POST", "/api/jobs", job(1, breeds=["x" * 150] * 100))[0] == 400
     assert world.user("n0", "PUT", "/api/jobs")[0] == 405
     assert world.user("n0", "POST", "/hello", b'{"mount":1}')[0] == 400
 
@@ -376,3 +377,20 @@
     effects = owner.handle([Answered(first[0].token, 200, body)], now, now)
     assert len([e for e in effects if isinstance(e, Reply)]) == 1
     assert len(owner.users.waiting) == 1
+
+
+def test_spot_notice_saves_what_can_save_and_places_nothing_more() -> None:
+    w = World()
+    w.cloud.capacity = {"small": 2, "gpu": 0}
+    w.cloud.start("small", "a", True)
+    w.run(3)
+    machine = next(iter(w.workers.values()))
+    machine.run_s = 500.0
+    spec = job(1, hands=2, borrowed=True, waypointS=30.0, stashS=2.0)
+    w.submit("n0", spec)
+    w.until(lambda: w.running("run-000001") == 2, 20)
+    machine.warning = 15.0
+    w.run(4)
+    assert not machine.live()
+    w.until(lambda: w.running("run-000001") == 2, 60)
+    assert not machine.live()
