--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -54,7 +54,9 @@
     allowed = victim.priority < job.priority or (
         job.within and not victim.within and victim.spec.team != job.spec.team
     )
-    return allowed and standing(job) < standing(victim)
+    # Never more than the need: no large task is stopped for a small one.
+    small = victim.spec.cpus > 8 * max(job.spec.cpus, 0.5)
+    return allowed and not small and standing(job) < standing(victim)
 
 
 class Claims:
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -39,7 +39,7 @@
 Done = Callable[[int | None, bytes], None]
 
 # Arrays are not rented for at more than this many times their cheapest price.
-DEAR = 6.0
+DEAR = 20.0
 
 
 @dataclasses.dataclass(slots=True)
