Services displace their own team's arrays at its limit; no claim without its allotment

Found on the way: a claim that its team's limit forbade went ahead without an allotment, and an allotment could be given back under a claim on its way; neither broke a limit, both left tasks waiting.

--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -72,6 +72,8 @@
         self.making = False
         self.packing = False
         self.withheld: dict[str, JobRun] = {}
+        # Per team: CPUs and GPUs of jobs that wait to be claimed as a whole.
+        self.held_back: dict[str, list[float]] = {}
         self.futile = Futile()
         self.futile_making = Futile()
         self.retries: list[tuple[JobRun, Shard, dict[str, int], int]] = []
@@ -105,11 +107,14 @@
             self.packing = any(not m.tasks for m in every)
             # One order for what is claimed and what is not: else the room for a claim that is
             # under way would go to whoever comes after it.
+            self.held_back = {}
             for job in ordered:
                 machines = steady if job.array else every
                 self._place(now, shard, machines, job, promised)
                 if every:
                     self._compete(now, shard, machines, job, promised)
+                if not job.array and job.unclaimed and job.claiming is None:
+                    self._hold_back(now, shard, job)
         for team, name, record in owner.quota.trims(now):
             self._trim(team, owner.held[name], record)
 
@@ -227,6 +232,51 @@
                     out[machine.name] = job
         return out
 
+    def _hold_back(self, now: float, shard: Shard, job: JobRun) -> None:
+        """A job waits to be claimed as a whole: what comes after it in its team leaves it room
+        within the team's limit, and tasks of lower priority are stopped if that is not enough.
+
+        Each holder stops its part of what lacks; claims of what was stopped are given back.
+        """
+        spec = job.spec
+        count = job.unclaimed.bit_count()
+        held = self.held_back.setdefault(spec.team, [0.0, 0.0])
+        held[0] += count * spec.cpus
+        held[1] += count * spec.gpus
+        if not self.making or now - job.seen_at < 2 * self.poll_s / 3 or now < job.trim_after:
+            return
+        owner = self.owner
+        spare = owner.quota.spare(spec.team)
+        lack = max(held[0] - spare[0], 0.0) / len(owner.settings.nodes)
+        victims = [
+            p
+            for m in owner.shard_machines(shard.name)
+            for p in m.tasks.values()
+            if p.live
+            and p.halt is None
+            and p.job is not None
+            and p.job.array
+            and p.job.spec.team == spec.team
+            and p.job.priority < job.priority
+        ]
+        victims.sort(key=lambda p: -p.started_at)
+        for p in victims:
+            if lack <= 0:
+                break
+            assert p.job is not None
+            lack -= p.job.spec.cpus
+            job.trim_after = now + 4 * self.poll_s
+            grace = 1.2 * p.job.spec.save_s if p.job.spec.checkpoint_s > 0 else 0.0
+            owner.workers.halt(p, grace, job.id)
+
+    def _limited(self, job: JobRun, wanted: int) -> int:
+        """How many tasks of an array may be claimed or placed beside what is held back."""
+        held = self.held_back.get(job.spec.team)
+        if held is None or not job.array:
+            return wanted
+        spare = self.owner.quota.spare(job.spec.team)
+        return 0 if held[0] > spare[0] or held[1] > spare[1] else wanted
+
     def _unreserve(self, job: JobRun, shard: str) -> None:
         for name in [n for n in job.reserved if n in self.owner.by_shard.get(shard, {})]:
             del job.reserved[name]
@@ -246,7 +296,7 @@
             return
         spec = job.spec
         wanted = bits.bit_count()
-        allowed = owner.quota.places(name, spec, wanted)
+        allowed = self._limited(job, owner.quota.places(name, spec, wanted))
         indexes: list[int] = []
         if allowed >= wanted or (allowed > 0 and not job.gang):
             indexes = list(taskset.members(taskset.lowest(bits, min(allowed, 1000))))
@@ -276,6 +326,10 @@
             job.stuck_at.pop(name, None)
             self._unreserve(job, name)
             return
+        if not job.array:
+            held = self.held_back.setdefault(spec.team, [0.0, 0.0])
+            held[0] += left * spec.cpus
+            held[1] += left * spec.gpus
         if now > job.reserved_until:
             job.reserved.clear()
         for _, machine in planned:
@@ -418,6 +472,7 @@
         """How many unclaimed tasks fit this shard's free room; they are added to `promised`."""
         bits = job.unclaimed
         wanted = self.owner.quota.claimable(shard, job.spec, bits.bit_count())
+        wanted = self._limited(job, wanted)
         if job.whole and wanted < bits.bit_count():
             return 0
         if not wanted:
@@ -451,7 +506,7 @@
             # A service that must be decided in one place starts with what there is.
             count = wanted if count else 0
         if self.making and count < wanted and now - job.seen_at > self.poll_s / 3:
-            able = owner.quota.claimable(shard.name, job.spec, wanted)
+            able = self._limited(job, owner.quota.claimable(shard.name, job.spec, wanted))
             if able > count:
                 count += self.could_make(job, able - count, machines, promised)
         if not count or (job.whole and count < wanted):
@@ -487,10 +542,15 @@
     def claim(self, job: JobRun, shard: Shard, bits: int) -> None:
         """Claim tasks for a shard, together with the allotment they need."""
         owner = self.owner
-        changes, conditions = self.claim_changes(job.spec.team, shard, job, bits)
+        made = self.claim_changes(job.spec.team, shard, job, bits)
+        if made is None:
+            job.claim_after = owner.now + self.poll_s / 2
+            return
+        changes, conditions = made
         self.open_claims += 1
         job.committing = True
         job.claiming = (shard.name, bits)
+        owner.quota.forget()
 
         def done(result: Result) -> None:
             job.committing = False
@@ -508,8 +568,8 @@
 
     def claim_changes(
         self, team: str, shard: Shard, job: JobRun, bits: int
-    ) -> tuple[list[wire.Put | wire.Drop], list[tuple[str, int]]]:
-        """Changes and conditions of a claim."""
+    ) -> tuple[list[wire.Put | wire.Drop], list[tuple[str, int]]] | None:
+        """Changes and conditions of a claim; None where the team's limit stands against it."""
         owner = self.owner
         claims = dict(job.claims)
         claims[shard.name] = claims.get(shard.name, 0) | bits
@@ -518,7 +578,9 @@
         ]
         conditions: list[tuple[str, int]] = []
         grown = owner.quota.grown(shard.name, job.spec, bits.bit_count())
-        if grown is not None:
+        if grown is None:
+            return None
+        if grown is not owner.quota.record(team):
             key = QUOTA + team
             changes.append(wire.Put(key, grown))
             conditions.append((key, owner.mirror.stamp(key)))
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -49,6 +49,7 @@
         # A claim under way: shard and tasks.
         self.claiming: tuple[str, int] | None = None
         self.claim_after = 0.0
+        self.trim_after = 0.0
         self.seen_at = 0.0
         self.stuck_at: dict[str, float] = {}
         self.errors: dict[str, float] = {}
--- a/sagecove/coordination/quota.py
+++ b/sagecove/coordination/quota.py
@@ -106,7 +106,11 @@
         if table is None:
             table = self._claimed[shard] = {}
             for job in self.owner.jobs.values():
-                if bits := job.claimed(shard):
+                bits = job.claimed(shard)
+                if job.claiming is not None and job.claiming[0] == shard:
+                    # A claim under way: what it needs must not be given back meanwhile.
+                    bits |= job.claiming[1]
+                if bits:
                     count = bits.bit_count()
                     have = table.setdefault(job.spec.team, [0.0, 0.0])
                     have[0] += count * job.spec.cpus
@@ -123,7 +127,8 @@
         return _count(spec, (allot[0] + spare[0] - have[0], allot[1] + spare[1] - have[1]), wanted)
 
     def grown(self, shard: str, spec: Job, more: int) -> QuotaRecord | None:
-        """The record that lets a shard claim `more` tasks; None if its allotment suffices.
+        """The record that lets a shard claim `more` tasks: the one there is if its allotment
+        suffices, None if the limit does not allow it.
 
         Far from the limit it grows in coarse steps, to save writes; near it by the need alone.
         """
@@ -142,7 +147,7 @@
             step = (spare[n] - growth) / (2 * nodes)
             new.append(allot[n] + growth + max(0.0, step))
         if new[0] == allot[0] and new[1] == allot[1]:
-            return None
+            return self.record(team)
         shards = dict(self.record(team).shards)
         if new[0] - allot[0] > spare[0] + EPS or new[1] - allot[1] > spare[1] + EPS:
             return None
@@ -157,7 +162,7 @@
             tight = spare[0] < 0.25 * limit.cpus_max or (
                 limit.gpus_max > 0 and spare[1] < 0.25 * limit.gpus_max
             )
-            if not tight or now - self.trimmed_at.get(team, -1e9) < 2.0:
+            if not tight or now - self.trimmed_at.get(team, -1e9) < 1.0:
                 continue
             for shard in self.owner.acting_shards(now):
                 allot = self.allotted(shard, team)
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -210,7 +210,10 @@
         if not count or (job.whole and count < job.spec.tasks):
             return None
         bits = taskset.lowest(job.every, count)
-        changes, conditions = owner.claims.claim_changes(job.spec.team, shard, job, bits)
+        made = claims.claim_changes(job.spec.team, shard, job, bits)
+        if made is None:
+            return None
+        changes, conditions = made
         return changes, [*conditions, (HOLDER + node, shard.term)]
 
     def status(self, job_id: str, exchange: Any) -> None:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -423,3 +423,13 @@
     assert not machine.live()
     w.until(lambda: w.running("run-000001") == 2, 60)
     assert not machine.live()
+
+
+def test_a_service_displaces_its_own_teams_arrays_at_the_limit(world: World) -> None:
+    # On a bench day a service waited a minute for its team's arrays to leave the team's limit.
+    for worker in world.workers.values():
+        worker.run_s = 60.0
+    world.submit("n0", job(1, outfit="blue", hands=12))
+    world.until(lambda: world.running("run-000001") == 4, 40)
+    world.submit("n1", job(2, outfit="blue", shape="service", rank="production", hands=3))
+    assert world.until(lambda: world.running("run-000002") == 3, 40) < 8
