--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -25,6 +25,12 @@
         self.every = taskset.full(self.spec.tasks)
         self.priority = PRIORITIES[self.spec.priority]
         self.within = False
+        # A service that other machines suit stays off those with GPUs: it would keep them from
+        # the jobs that need them, for good. Unless it has lacked room for long.
+        self.off_gpus = False
+        self.lacking_since: float | None = None
+        # Among jobs of equal standing: see `Owner.rank`.
+        self.order = (0, 0.0)
         # Durable sets, from the record.
         self.fin = 0
         self.claims: dict[str, int] = {}
@@ -40,6 +46,8 @@
         self.reserved: dict[str, int] = {}
         self.reserved_until = 0.0
         self.committing = False
+        # A claim under way: shard and tasks.
+        self.claiming: tuple[str, int] | None = None
         self.claim_after = 0.0
         self.seen_at = 0.0
         self.stuck_at: dict[str, float] = {}
