--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -433,3 +433,25 @@
     world.until(lambda: world.running("run-000001") == 4, 40)
     world.submit("n1", job(2, outfit="blue", shape="service", rank="production", hands=3))
     assert world.until(lambda: world.running("run-000002") == 3, 40) < 8
+
+
+@pytest.mark.parametrize("verdict", ["late", "unanswered", "lost", "throttled"])
+def test_transactions_go_astray_and_everything_still_completes_once(
+    world: World, verdict: str
+) -> None:
+    # A third of all transactions, whatever they are: claims, releases, results, allotments,
+    # machines, takeovers. World.started and World.check watch the rules.
+    world.state.hook = lambda node, body: verdict if world.random.random() < 0.33 else None
+    for i in range(8):
+        world.ask(f"n{i % 3}", "POST", "/api/jobs", world.spec(job(i, hands=4)), lambda s, b: None)
+        world.run(2)
+    world.kill("n1")
+    world.run(4)
+    world.boot_node(1)
+    world.run(40)
+    world.state.hook = None
+    for i in range(8):
+        assert world.submit("n0", job(i, hands=4))[0] in (200, 201)
+    world.until(lambda: len(world.completed) == 32, 300)
+    for i in range(8):
+        world.until(lambda i=i: standing(world, "n2", f"run-{i:06d}") == "done", 60)
--- a/tests/world.py
+++ b/tests/world.py
@@ -121,8 +121,8 @@
         self.refused: set[str] = set()
         self.forgets_before = 0
         self.next_lease = 1
-        # Called with each transaction and its outcome's callback; may return True to swallow the
-        # answer (executed or not is then up to it).
+        # Called with each transaction; what becomes of it: None for the usual, or `lost` (not
+        # executed, no answer), `unanswered`, `late` (no answer, executed later) or `throttled`.
         self.hook: Callable[[str, dict[str, Any]], str | None] | None = None
 
     def tick(self) -> None:
@@ -216,6 +216,14 @@
             if verdict == "lost":
                 answer(None, b"")
                 return
+            if verdict == "late":
+                # No answer, and executed much later.
+                self.world.later(self.world.random.uniform(3, 15), lambda: self.commit(body))
+                answer(None, b"")
+                return
+            if verdict == "throttled":
+                answer(429, b"{}")
+                return
             result = self.commit(body)
             self.world.later(0.0, self.tick)
             if verdict == "unanswered":
@@ -598,9 +606,13 @@
                 self.cancelled.setdefault(path.split("/")[3], self.now)
         return got[0] if got else (0, None)
 
-    def submit(self, node: str, spec: dict[str, Any]) -> tuple[int, Any]:
+    def spec(self, spec: dict[str, Any]) -> dict[str, Any]:
+        """Make a submission known to the workers."""
         self.specs[spec["nameId"]] = spec
-        return self.user(node, "POST", "/api/jobs", spec)
+        return spec
+
+    def submit(self, node: str, spec: dict[str, Any]) -> tuple[int, Any]:
+        return self.user(node, "POST", "/api/jobs", self.spec(spec))
 
     def boot(self, name: str) -> None:
         if name in self.cloud.machines:
