--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -90,6 +90,10 @@
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
             self._reply(exchange, 400, u.Refusal(str(error)[:300]))
             return
+        if len(body) > owner.settings.params.state.value_kb * 512:
+            # Its record would not fit the state service, beside the sets of its tasks.
+            self._reply(exchange, 400, u.Refusal("the submission is too long"))
+            return
         if job.id in self.finals:
             self._tell_final("submit", job.id, exchange)
             return
@@ -141,7 +145,10 @@
         record = JobRecord(spec, owner.wall())
         conditions = [(JOB + job_id, 0), (OVER + job_id, 0)]
         changes: list[wire.Put | wire.Drop] = [wire.Put(JOB + job_id, record)]
-        claimed = self._claim_now(JobRun(record, 0))
+        run = JobRun(record, 0)
+        if run.service:
+            owner.settle(run)
+        claimed = self._claim_now(run)
         if claimed is not None:
             changes, more = claimed
             conditions += more
@@ -203,7 +210,10 @@
         if not count or (job.whole and count < job.spec.tasks):
             return None
         bits = taskset.lowest(job.every, count)
-        changes, conditions = owner.claims.claim_changes(job.spec.team, shard, job, bits)
+        made = claims.claim_changes(job.spec.team, shard, job, bits)
+        if made is None:
+            return None
+        changes, conditions = made
         return changes, [*conditions, (HOLDER + node, shard.term)]
 
     def status(self, job_id: str, exchange: Any) -> None:
