--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -13,6 +13,7 @@
 from sagecove.coordination.placement import (
     Futile,
     Room,
+    fills_most,
     keep_reserved,
     machine_allowed,
     plan,
@@ -228,7 +229,7 @@
                 kind = machine.kind
                 if kind is None or machine.name in out or not machine_allowed(job.spec, machine):
                     continue
-                if 2 * job.spec.cpus > kind.cpus or 2 * job.spec.gpus > kind.gpus > 0:
+                if fills_most(job.spec, kind):
                     out[machine.name] = job
         return out
 
@@ -239,10 +240,7 @@
         Each holder stops its part of what lacks; claims of what was stopped are given back.
         """
         spec = job.spec
-        count = job.unclaimed.bit_count()
-        held = self.held_back.setdefault(spec.team, [0.0, 0.0])
-        held[0] += count * spec.cpus
-        held[1] += count * spec.gpus
+        held = self._add_held(job, job.unclaimed.bit_count())
         if not self.making or now - job.seen_at < 2 * self.poll_s / 3 or now < job.trim_after:
             return
         owner = self.owner
@@ -266,8 +264,14 @@
             assert p.job is not None
             lack -= p.job.spec.cpus
             job.trim_after = now + 4 * self.poll_s
-            grace = 1.2 * p.job.spec.save_s if p.job.spec.checkpoint_s > 0 else 0.0
-            owner.workers.halt(p, grace, job.id)
+            owner.workers.halt(p, p.job.grace_s, job.id)
+
+    def _add_held(self, job: JobRun, count: int) -> list[float]:
+        """Hold back what tasks of a job need of its team's limit; all that its team holds back."""
+        held = self.held_back.setdefault(job.spec.team, [0.0, 0.0])
+        held[0] += count * job.spec.cpus
+        held[1] += count * job.spec.gpus
+        return held
 
     def _limited(self, job: JobRun, wanted: int) -> int:
         """How many tasks of an array may be claimed or placed beside what is held back."""
@@ -327,9 +331,7 @@
             self._unreserve(job, name)
             return
         if not job.array:
-            held = self.held_back.setdefault(spec.team, [0.0, 0.0])
-            held[0] += left * spec.cpus
-            held[1] += left * spec.gpus
+            self._add_held(job, left)
         if now > job.reserved_until:
             job.reserved.clear()
         for _, machine in planned:
@@ -375,7 +377,7 @@
         """Stop tasks that this job may displace; how many of its tasks will then fit."""
         making = 0
         spec = job.spec
-        rank = (job.priority, job.within, spec.team if job.within else "")
+        rank = _stopping_rank(job)
         if self.futile_making.known(job, rank):
             return 0
         candidates: list[tuple[bool, float, Machine, list[Placement]]] = []
@@ -426,8 +428,7 @@
             job.reserved_until = now + 2 * self.owner.settings.params.workers.report_s + 10.0
             for p in chosen:
                 assert p.job is not None
-                grace = p.job.spec.save_s if p.job.spec.checkpoint_s > 0 else 0.0
-                self.owner.workers.halt(p, grace * 1.2, job.id)
+                self.owner.workers.halt(p, p.job.grace_s, job.id)
         return making
 
     def _release(self, now: float, job: JobRun, shard: Shard) -> None:
@@ -517,7 +518,7 @@
         """How many tasks would fit if others were stopped for them (nothing is stopped yet)."""
         making = 0
         spec = job.spec
-        rank = (job.priority, job.within, spec.team if job.within else "")
+        rank = _stopping_rank(job)
         if self.futile_making.known(job, rank):
             return 0
         zones: set[str] = set()
@@ -542,7 +543,7 @@
     def claim(self, job: JobRun, shard: Shard, bits: int) -> None:
         """Claim tasks for a shard, together with the allotment they need."""
         owner = self.owner
-        made = self.claim_changes(job.spec.team, shard, job, bits)
+        made = self.claim_changes(shard, job, bits)
         if made is None:
             job.claim_after = owner.now + self.poll_s / 2
             return
@@ -567,7 +568,7 @@
         owner.commit(conditions, changes, done)
 
     def claim_changes(
-        self, team: str, shard: Shard, job: JobRun, bits: int
+        self, shard: Shard, job: JobRun, bits: int
     ) -> tuple[list[wire.Put | wire.Drop], list[tuple[str, int]]] | None:
         """Changes and conditions of a claim; None where the team's limit stands against it."""
         owner = self.owner
@@ -580,12 +581,17 @@
         grown = owner.quota.grown(shard.name, job.spec, bits.bit_count())
         if grown is None:
             return None
-        if grown is not owner.quota.record(team):
-            key = QUOTA + team
+        if grown is not owner.quota.record(job.spec.team):
+            key = QUOTA + job.spec.team
             changes.append(wire.Put(key, grown))
             conditions.append((key, owner.mirror.stamp(key)))
         return changes, conditions
 
 
+def _stopping_rank(job: JobRun) -> tuple[int, bool, str]:
+    """Jobs that may stop the same tasks."""
+    return job.priority, job.within, job.spec.team if job.within else ""
+
+
 def _need(job: JobRun) -> tuple[float, float, float]:
     return job.spec.cpus, job.spec.gpus, job.spec.memory_gb
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -86,6 +86,11 @@
         """Independent tasks."""
         return self.spec.kind == ARRAY
 
+    @property
+    def grace_s(self) -> float:
+        """Time to give a task that is stopped: enough to save, if it saves at all."""
+        return 1.2 * self.spec.save_s if self.spec.checkpoint_s > 0 else 0.0
+
     @property
     def unfinished(self) -> int:
         """Tasks that have not completed."""
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -18,7 +18,7 @@
 from sagecove.coordination.effects import Answered, Asked, Call, Command, Effect, Reply
 from sagecove.coordination.leadership import Leadership
 from sagecove.coordination.model import JobRun, Machine, Placement, Shard
-from sagecove.coordination.placement import Room, keep_reserved, plan, type_allowed
+from sagecove.coordination.placement import Room, fills_most, keep_reserved, plan, type_allowed
 from sagecove.coordination.provision import Provision
 from sagecove.coordination.quota import Quota
 from sagecove.coordination.users import Users
@@ -494,12 +494,9 @@
             job.fresh &= ~job.claims.get(name, 0)
         self.quota.forget()
 
-    def machine_known(self, machine: Machine) -> None:
-        """A machine reported under the current token: its task list is complete."""
-        self.machine_resolved(machine)
-
     def machine_resolved(self, machine: Machine) -> None:
-        """What an earlier holder may have left on this machine is known."""
+        """What an earlier holder may have left on this machine is known: it has reported under the
+        current token, so that its list is complete, or all that was on it is gone."""
         shard = self.held.get(machine.record.shard)
         if shard is None or machine.name not in shard.unknown:
             return
@@ -584,7 +581,7 @@
         if not fitting:
             return
         kind = min(fitting, key=lambda t: t.price)
-        if 2 * job.spec.cpus > kind.cpus or (kind.gpus > 0 and 2 * job.spec.gpus > kind.gpus):
+        if fills_most(job.spec, kind):
             self.arrivals.setdefault(kind.name, deque(maxlen=8)).append(self.now)
 
     # -- what is learned ------------------------------------------------------------------------
--- a/sagecove/coordination/placement.py
+++ b/sagecove/coordination/placement.py
@@ -34,6 +34,11 @@
     )
 
 
+def fills_most(spec: Job, kind: MachineType) -> bool:
+    """A task takes most of such a machine, so that hardly ever one in use has room for it."""
+    return 2 * spec.cpus > kind.cpus or 2 * spec.gpus > kind.gpus > 0
+
+
 def suits(job: JobRun, machine: Machine) -> bool:
     """The job allows this machine, and should be there."""
     kind = machine.kind
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -206,7 +206,7 @@
             machine.type,
             machine.zone,
             machine.spot,
-            self._poorest(),
+            _fewest(self._shard_sizes()),
             machine.addr,
             owner.wall(),
             "failed" if machine.state == "failed" else "",
@@ -243,11 +243,11 @@
 
     # -- renting --------------------------------------------------------------------------------
 
-    def _poorest(self) -> str:
-        """The shard with the fewest machines, among those that have a holder."""
+    def _shard_sizes(self) -> dict[str, int]:
+        """Machines per shard, of the shards that have a holder."""
         owner = self.owner
         up = [n for n in owner.settings.nodes if HOLDER + n in owner.mirror.items]
-        return min(up or [owner.settings.node], key=lambda n: (len(owner.by_shard.get(n, {})), n))
+        return {n: len(owner.by_shard.get(n, {})) for n in up or [owner.settings.node]}
 
     def options(self, job: JobRun, now: float) -> list[tuple[float, MachineType, str, bool]]:
         """What could be rented for a task of this job, cheapest per task first."""
@@ -266,7 +266,7 @@
                 for spot in (True, False) if spec.spot else (False,):
                     if self.full_until.get((kind.name, zone, spot), 0.0) > now:
                         continue
-                    price = kind.spot_price if spot and kind.spot_price else kind.price
+                    price = _price(kind, spot)
                     # Late work costs a multiple of its cheapest price; beyond that, better late.
                     if job.array and price / fit > DEAR * nominal:
                         continue
@@ -284,8 +284,7 @@
         """Lowest price of a task on a full machine of a type."""
         if not type_allowed(spec, kind):
             return float("inf")
-        price = kind.spot_price if spec.spot and kind.spot_price else kind.price
-        return price / self._fit(spec, kind)
+        return _price(kind, spec.spot) / self._fit(spec, kind)
 
     def _rent_what_lacks(self, now: float) -> None:
         """Rent for tasks that nobody has room for, beyond what is booting already."""
@@ -414,7 +413,12 @@
         Cheapest types stay, since they are the ones to be rented next.
         """
         out = []
-        prices = [(self._price(m), m.name, m) for m in machines if m.kind is not None]
+        # Prices of a CPU.
+        prices = [
+            (_price(m.kind, m.record.spot) / max(m.kind.cpus, 0.1), m.name, m)
+            for m in machines
+            if m.kind is not None
+        ]
         if not prices:
             return []
         cheapest = min(price for price, _, _ in prices)
@@ -429,13 +433,6 @@
                 out.append(name)
         return out
 
-    def _price(self, machine: Machine) -> float:
-        """Price of a CPU."""
-        kind = machine.kind
-        assert kind is not None
-        price = kind.spot_price if machine.record.spot and kind.spot_price else kind.price
-        return price / max(kind.cpus, 0.1)
-
     def _weight(self, job: JobRun) -> float:
         """CPUs a task takes, or keeps others from taking because of its memory."""
         spec = job.spec
@@ -443,8 +440,7 @@
         if not fitting:
             return spec.cpus
         kind = min(fitting, key=lambda t: t.price / max(t.cpus, 0.1))
-        fit = max(1, slots(spec, (kind.cpus, kind.gpus, kind.memory_gb)))
-        return max(spec.cpus, kind.cpus / fit)
+        return max(spec.cpus, kind.cpus / self._fit(spec, kind))
 
     def _time_left(self, job: JobRun) -> float:
         """How long the rest of an array may take, with some reserve."""
@@ -458,12 +454,10 @@
                 self.rent(name, zone, spot, min(count, c.RENT_MOST), shard)
                 count -= c.RENT_MOST
             return
-        owner = self.owner
-        up = [n for n in owner.settings.nodes if HOLDER + n in owner.mirror.items]
-        counts = {n: len(owner.by_shard.get(n, {})) for n in up or [owner.settings.node]}
+        counts = self._shard_sizes()
         share = dict.fromkeys(counts, 0)
         for _ in range(count):
-            fewest = min(counts, key=lambda n: (counts[n], n))
+            fewest = _fewest(counts)
             counts[fewest] += 1
             share[fewest] += 1
         for node, part in share.items():
@@ -563,3 +557,13 @@
     ) -> None:
         """A transaction that fails once the role has gone to another controller."""
         self.owner.commit([*conditions, (PROVISIONER, self.term)], changes, done)
+
+
+def _price(kind: MachineType, spot: bool) -> float:
+    """Price of a machine by the hour."""
+    return kind.spot_price if spot and kind.spot_price else kind.price
+
+
+def _fewest(counts: dict[str, int]) -> str:
+    """The shard with the fewest machines."""
+    return min(counts, key=lambda n: (counts[n], n))
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -210,7 +210,7 @@
         if not count or (job.whole and count < job.spec.tasks):
             return None
         bits = taskset.lowest(job.every, count)
-        made = claims.claim_changes(job.spec.team, shard, job, bits)
+        made = claims.claim_changes(shard, job, bits)
         if made is None:
             return None
         changes, conditions = made
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -52,7 +52,6 @@
         self.call_s = 4.0
         self.adopting: set[str] = set()
         self.gone: dict[str, float] = {}
-        self.failed_jobs: dict[str, float] = {}
 
     # -- reports --------------------------------------------------------------------------------
 
@@ -205,7 +204,7 @@
             owner.quota.forget()
         machine.strays = strays
         if first:
-            owner.machine_known(machine)
+            owner.machine_resolved(machine)
         owner.dirty = True
 
     def _save(self, machine: Machine) -> None:
@@ -213,7 +212,7 @@
         for placement in list(machine.tasks.values()):
             job = placement.job
             if job is not None and job.spec.checkpoint_s > 0 and placement.live:
-                self.halt(placement, 1.2 * job.spec.save_s, "spot notice")
+                self.halt(placement, job.grace_s, "spot notice")
 
     def _recognize(self, machine: Machine, hand: w.Hand) -> Placement | None:
         """A reported task that this process did not place: one of an earlier holder?"""
--- a/tests/world.py
+++ b/tests/world.py
@@ -17,6 +17,8 @@
 from sagecove.coordination.effects import Answered, Asked, Call, Reply
 from sagecove.coordination.owner import Owner
 
+Answer = Callable[[int | None, bytes], None]
+
 TYPES = [
     {
         "sku": "small",
@@ -116,7 +118,7 @@
         self.keys: dict[str, tuple[Any, int, int | None]] = {}
         self.changes: list[tuple[int, str, Any]] = []
         self.leases: dict[int, tuple[float, float]] = {}
-        self.watches: list[tuple[str, int, float, Callable[[int | None, bytes], None]]] = []
+        self.watches: list[tuple[str, int, float, Answer]] = []
         self.down = False
         self.refused: set[str] = set()
         self.forgets_before = 0
@@ -195,7 +197,7 @@
         method: str,
         path: str,
         body: Any,
-        answer: Callable[[int | None, bytes], None],
+        answer: Answer,
     ) -> None:
         if path.startswith("/watch"):
             args = dict(p.split("=") for p in path.partition("?")[2].split("&"))
@@ -294,9 +296,7 @@
             self.world.later(boot, lambda: self.world.boot(name))
         return name
 
-    def request(
-        self, method: str, path: str, body: Any, answer: Callable[[int | None, bytes], None]
-    ) -> None:
+    def request(self, method: str, path: str, body: Any, answer: Answer) -> None:
         if path == "/flavors":
             answer(200, json.dumps({"breeds": TYPES}).encode())
         elif path == "/machines":
@@ -422,7 +422,7 @@
             self.world.ask(node, "POST", "/hello", self.body(), once)
         self.world.later(4.0, lambda: None if answered[0] else self.lost(once))
 
-    def lost(self, once: Callable[[int | None, bytes], None]) -> None:
+    def lost(self, once: Answer) -> None:
         """No response within 4 s: the next node, 1 s later."""
         once(None, b"")
         names = sorted(self.world.owners)
@@ -565,9 +565,7 @@
                 return
             self.later(0.002, lambda: self._deliver_addr(call, raw, answer))
 
-    def _deliver_addr(
-        self, call: Call, raw: Any, answer: Callable[[int | None, bytes], None]
-    ) -> None:
+    def _deliver_addr(self, call: Call, raw: Any, answer: Answer) -> None:
         for worker in self.workers.values():
             if worker.info["addr"] == call.target and not worker.dead:
                 if worker.cut or worker.cut_direct:
@@ -588,7 +586,7 @@
         method: str,
         path: str,
         body: Any,
-        answer: Callable[[int | None, bytes], None],
+        answer: Answer,
     ) -> None:
         if node in self.owners:
             raw = body if isinstance(body, bytes) else json.dumps(body).encode()
