--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -68,6 +68,8 @@
         # DESIGN's pollInterval is 1.5 s with a lease of 20 s: kept as a ratio to the report pace.
         self.poll_s = min(1.5, owner.settings.params.workers.report_s / 2)
         self.open_claims = 0
+        # Jobs that the last pass had to look at.
+        self.open_jobs = 0
         self.make_at = 0.0
         # Of the pass and shard at hand.
         self.making = False
@@ -77,6 +79,8 @@
         self.held_back: dict[str, list[float]] = {}
         self.futile = Futile()
         self.futile_making = Futile()
+        # Jobs that have tasks running in the shard at hand: what may be stopped at all.
+        self.running: list[JobRun] = []
         self.retries: list[tuple[JobRun, Shard, dict[str, int], int]] = []
 
     def run(self, now: float) -> None:
@@ -91,7 +95,7 @@
                 self._write_release(job, shard, claims, bits)
         self._record(now, shards)
         self._gangs(now)
-        ordered = sorted(owner.jobs.values(), key=precedence)
+        ordered = self._open(shards)
         # Looking for tasks to stop is the costly part: not on every pass.
         self.making = now >= self.make_at
         if self.making:
@@ -103,6 +107,8 @@
             steady = [m for m in every if now >= m.drain_until]
             self.futile = Futile()
             self.futile_making = Futile()
+            if self.making:
+                self.look_around(every)
             self.withheld = self._withhold(shard, every, ordered)
             # DESIGN: fuller machines are preferred while some await their return.
             self.packing = any(not m.tasks for m in every)
@@ -119,6 +125,30 @@
         for team, name, record in owner.quota.trims(now):
             self._trim(team, owner.held[name], record)
 
+    def _open(self, shards: list[Shard]) -> list[JobRun]:
+        """The jobs that a pass may have to do something for, in order. Most jobs are through with
+        placing, and at thousands of tasks looking at each of them is what a pass would cost."""
+        owner = self.owner
+        names = [shard.name for shard in shards]
+        found = []
+        for job in owner.jobs.values():
+            if (
+                job.unclaimed
+                or job.reserved
+                or job.stuck_at
+                or any(job.placeable(name) for name in names)
+            ):
+                if job.array:
+                    owner.rank(job)
+                elif job.service:
+                    owner.settle(job)
+                found.append(job)
+            else:
+                job.lacking_since = None
+        self.open_jobs = len(found)
+        found.sort(key=precedence)
+        return found
+
     # -- results --------------------------------------------------------------------------------
 
     def _record(self, now: float, shards: list[Shard]) -> None:
@@ -134,6 +164,12 @@
             for s in shards:
                 fresh |= job.claims.get(s.name, 0) & job.fresh
             fin = job.fin | fresh
+            # Tasks of a large array end all the time: their numbers are written together, at the
+            # pace of the polls, unless nothing of the job is left to run here.
+            more = any(job.claimed(s.name) for s in shards)
+            if more and now - job.recorded_at < self.poll_s:
+                continue
+            job.recorded_at = now
             key = JOB + job.id
             changes: list[wire.Put | wire.Drop]
             if fin == job.every:
@@ -216,6 +252,19 @@
 
     # -- placing --------------------------------------------------------------------------------
 
+    def look_around(self, machines: list[Machine]) -> None:
+        """Note one job of each standing, team and size of task, of those running on machines."""
+        seen: dict[tuple[object, ...], JobRun] = {}
+        for machine in machines:
+            for p in machine.tasks.values():
+                if (job := p.job) is not None and p.live:
+                    seen[job.priority, job.within, job.spec.team, job.spec.cpus] = job
+        self.running = list(seen.values())
+
+    def _stoppable(self, job: JobRun) -> bool:
+        """There is anything that the job may displace."""
+        return any(may_stop(job, other) for other in self.running)
+
     def _withhold(
         self, shard: Shard, machines: list[Machine], ordered: list[JobRun]
     ) -> dict[str, JobRun]:
@@ -246,6 +295,8 @@
         owner = self.owner
         spare = owner.quota.spare(spec.team)
         lack = max(held[0] - spare[0], 0.0) / len(owner.settings.nodes)
+        if lack <= 0:
+            return
         victims = [
             p
             for m in owner.shard_machines(shard.name)
@@ -358,7 +409,7 @@
         placement.started_at = now
         machine.tasks[task] = placement
         machine.take(job.spec, 1)
-        machine.urgent = True
+        owner.workers.hurry(machine)
         job.add(placement)
         job.attempt = attempt
         owner.quota.started(machine.record.shard, job.spec)
@@ -378,7 +429,7 @@
         making = 0
         spec = job.spec
         rank = _stopping_rank(job)
-        if self.futile_making.known(job, rank):
+        if self.futile_making.known(job, rank) or not self._stoppable(job):
             return 0
         candidates: list[tuple[bool, float, Machine, list[Placement]]] = []
         counts = zone_counts(job)
@@ -519,7 +570,7 @@
         making = 0
         spec = job.spec
         rank = _stopping_rank(job)
-        if self.futile_making.known(job, rank):
+        if self.futile_making.known(job, rank) or not self._stoppable(job):
             return 0
         zones: set[str] = set()
         for machine in machines:
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -24,6 +24,13 @@
         self.at = record.at
         self.every = taskset.full(self.spec.tasks)
         self.priority = PRIORITIES[self.spec.priority]
+        kind = self.spec.kind
+        # Plain attributes: a pass reads them of every job.
+        self.array = kind == ARRAY  # independent tasks
+        self.gang = kind == GANG  # all tasks run together or none does
+        self.service = kind == SERVICE  # runs until cancelled
+        # One claim for all tasks, so that rules over the job's tasks are decided in one place.
+        self.whole = self.gang or self.spec.one_zone or self.spec.spread
         self.within = False
         # A service that other machines suit stays off those with GPUs: it would keep them from
         # the jobs that need them, for good. Unless it has lacked room for long.
@@ -46,6 +53,8 @@
         self.reserved: dict[str, int] = {}
         self.reserved_until = 0.0
         self.committing = False
+        # When numbers of finished tasks were last written.
+        self.recorded_at = -1e9
         # A claim under way: shard and tasks.
         self.claiming: tuple[str, int] | None = None
         self.claim_after = 0.0
@@ -65,26 +74,10 @@
         self.fin = taskset.decode(record.fin)
         self.claims = {shard: taskset.decode(text) for shard, text in record.claims.items()}
         self.fresh &= ~self.fin
-
-    @property
-    def whole(self) -> bool:
-        """One claim for all tasks, so that rules over the job's tasks are decided in one place."""
-        return self.spec.kind == GANG or self.spec.one_zone or self.spec.spread
-
-    @property
-    def gang(self) -> bool:
-        """All tasks run together or none does."""
-        return self.spec.kind == GANG
-
-    @property
-    def service(self) -> bool:
-        """Runs until cancelled."""
-        return self.spec.kind == SERVICE
-
-    @property
-    def array(self) -> bool:
-        """Independent tasks."""
-        return self.spec.kind == ARRAY
+        # Tasks that no shard holds.
+        self.unclaimed = self.every & ~self.fin
+        for claim in self.claims.values():
+            self.unclaimed &= ~claim
 
     @property
     def grace_s(self) -> float:
@@ -96,14 +89,6 @@
         """Tasks that have not completed."""
         return self.every & ~self.fin & ~self.fresh
 
-    @property
-    def unclaimed(self) -> int:
-        """Tasks that no shard holds."""
-        bits = self.every & ~self.fin
-        for claim in self.claims.values():
-            bits &= ~claim
-        return bits
-
     def claimed(self, shard: str) -> int:
         """Unfinished tasks held by a shard."""
         return self.claims.get(shard, 0) & self.unfinished
@@ -212,7 +197,6 @@
         # Tasks reported that are none of this shard's: to be stopped and removed.
         self.strays: dict[tuple[str, int], str] = {}
         self.used = [0.0, 0.0, 0.0]
-        self.urgent = False
         self.calling = 0
 
     def free(self) -> tuple[float, float, float]:
@@ -247,7 +231,7 @@
     @property
     def murky(self) -> bool:
         """Runs tasks of whose jobs nothing is known here."""
-        return any(state != w.EXITED for state in self.strays.values())
+        return bool(self.strays) and any(state != w.EXITED for state in self.strays.values())
 
     @property
     def empty(self) -> bool:
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -36,8 +36,11 @@
 
 Done = Callable[[int | None, bytes], None]
 
-# A pass over jobs and machines, at most this often (seconds); ticks come about as often.
+# A pass over jobs and machines, at most this often (seconds); under a backlog it costs more, and
+# one in `PASS_MOST_S` is enough then. Ticks come about as often.
 PASS_S = 0.08
+PASS_MOST_S = 0.5
+PASS_JOBS = 30
 TICK_S = 0.25
 
 
@@ -84,9 +87,12 @@
         self.page_ledger = 0
         self.page_begun = 0.0
         self.dirty = True
+        # A job came or went: who is within a guarantee is to be found anew.
+        self.jobs_changed = True
         self.passed_at = -1e9
         self.ticked_at = -1e9
         self.hint_at = 0.0
+        self.idle_at = 0.0
         self.quota = Quota(self)
         self.leadership = Leadership(self)
         self.workers = Workers(self)
@@ -110,7 +116,7 @@
         if now - self.ticked_at >= TICK_S:
             self.ticked_at = now
             self._tick(now)
-        if self.dirty and now - self.passed_at >= PASS_S:
+        if self.dirty and now - self.passed_at >= self._pass_s():
             self.dirty = False
             self.passed_at = now
             self._pass(now)
@@ -124,13 +130,16 @@
         """Seconds until the owner wants to be called again, commands or none."""
         waits = [TICK_S - (self.now - self.ticked_at)]
         if self.dirty:
-            waits.append(PASS_S - (self.now - self.passed_at))
+            waits.append(self._pass_s() - (self.now - self.passed_at))
         if self.sync_wanted and not self.syncing:
             waits.append(self.sync_at - self.now)
         if self.store.waiting:
             waits.append(self.store.flush(self.now) or 0.01)
         return max(0.002, min(waits))
 
+    def _pass_s(self) -> float:
+        return min(PASS_MOST_S, PASS_S * max(1.0, self.claims.open_jobs / PASS_JOBS))
+
     def wall(self) -> float:
         """The time of day."""
         return self.now + self._wall_offset
@@ -156,12 +165,9 @@
 
     def _pass(self, now: float) -> None:
         self.quota.forget()
-        self.quota.assign_guarantees(list(self.jobs.values()))
-        for job in self.jobs.values():
-            if job.array:
-                self.rank(job)
-            elif job.service:
-                self.settle(job)
+        if self.jobs_changed:
+            self.jobs_changed = False
+            self.quota.assign_guarantees(list(self.jobs.values()))
         self.claims.run(now)
 
     # -- requests -------------------------------------------------------------------------------
@@ -236,7 +242,7 @@
     def _send_to_state(self, method: str, path: str, body: Any, timeout: float, done: Done) -> None:
         def answered(status: int | None, raw: bytes) -> None:
             if status == 429:
-                self.store.throttled(self.now, self.random.uniform(0.1, 0.4))
+                self.store.throttled(self.now, self.random.uniform(0.05, 0.25))
                 self.count("throttled")
             done(status, raw)
 
@@ -332,7 +338,7 @@
         self.sync_wanted = False
         self.syncing = True
         # Polls of an interval share one read: its length keeps reads within a part of the budget.
-        self.sync_at = now + 2.5 / self.store.requests.rate
+        self.sync_at = now + 5 / self.store.fair
         self.store.watch(now, r.LIVE, self.mirror.applied, 0.0, self._changes(now, True))
 
     def _changes(self, begun: float, sync: bool) -> Done:
@@ -343,10 +349,14 @@
                 self.syncing = False
             else:
                 self.watching = False
-                self.watch_at = self.now + 0.1
+                # Changes come all the time: each answer should carry several.
+                self.watch_at = self.now + 5 / self.store.fair
             answer = decode(body, wire.Changes) if status == 200 else None
             if answer is not None:
                 for change in answer.events:
+                    if change.version <= self.mirror.applied:
+                        # Told of by another answer already: not worth being parsed again.
+                        continue
                     if change.put is not None:
                         value = r.parse(change.put, change.value)
                         self._apply(Event(change.put, value, change.version))
@@ -402,12 +412,14 @@
         if event.value is None:
             if job is not None:
                 del self.jobs[job_id]
+                self.jobs_changed = True
                 self.hungry.pop(job_id, None)
                 for placement in list(job.placed.values()):
                     self.workers.halt(placement, 0.0, "job over")
             return
         if job is None:
             job = self.jobs[job_id] = JobRun(event.value, event.stamp)
+            self.jobs_changed = True
             job.seen_at = self.now
             self._note_arrival(job)
         else:
@@ -524,6 +536,9 @@
 
     def _idle(self, now: float) -> None:
         """Return machines that have been idle for long, but keep a little room for arrivals."""
+        if now < self.idle_at:
+            return
+        self.idle_at = now + 4 * TICK_S
         for name in self.acting_shards(now):
             idle: dict[tuple[str, bool], list[Machine]] = {}
             machines = self.shard_machines(name)
--- a/sagecove/coordination/placement.py
+++ b/sagecove/coordination/placement.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Iterable
+from itertools import groupby
 from random import Random
 
 from sagecove.coordination.model import EPS, JobRun, Machine
@@ -195,6 +196,8 @@
     cap = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
     left = {machine.name: count for machine, count in open_machines}
     ranked = sorted(((rank(job, m), m) for m, _ in open_machines), key=lambda pair: pair[0])
+    if job.array and not spec.spread:
+        return _plan_array(spec, indexes, ranked, left, random, promised, packing)
     here: dict[str, int] = {}
     if job.service:
         for placement in job.placed.values():
@@ -230,3 +233,36 @@
             promise(promised, machine.name, spec, -1)
         return []
     return planned
+
+
+def _plan_array(
+    spec: Job,
+    indexes: list[int],
+    ranked: list[tuple[tuple[int, int, int], Machine]],
+    left: dict[str, int],
+    random: Random,
+    promised: Room,
+    packing: bool,
+) -> list[tuple[int, Machine]]:
+    """Independent tasks need no look at each other: group by group, the random pick (or, when
+    packing, the fullest first) costs a step a task, however many machines there are."""
+    planned: list[tuple[int, Machine]] = []
+    waiting = iter(indexes)
+    for _, group in groupby(ranked, key=lambda pair: pair[0]):
+        machines = [machine for _, machine in group]
+        if packing:
+            random.shuffle(machines)
+            machines.sort(key=lambda m: -room_of(m, promised)[0])
+        while machines:
+            at = len(machines) - 1 if packing else random.randrange(len(machines))
+            index = next(waiting, None)
+            if index is None:
+                return planned
+            machine = machines[at]
+            planned.append((index, machine))
+            promise(promised, machine.name, spec)
+            left[machine.name] -= 1
+            if not left[machine.name]:
+                machines[at] = machines[-1]
+                machines.pop()
+    return planned
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -61,25 +61,62 @@
         record = machine.record
         return cls(machine.kind, record.zone, record.spot, record.shard)
 
-    def takes(self, spec: Job) -> bool:
-        """One more task fits."""
+    def room(self, spec: Job) -> int:
+        """How many more tasks fit."""
         kind = self.kind
-        return (
-            type_allowed(spec, kind)
-            and (spec.zone is None or spec.zone == self.zone)
-            and (spec.spot or not self.spot)
-            and slots(
-                spec,
-                (kind.cpus - self.cpus, kind.gpus - self.gpus, kind.memory_gb - self.memory_gb),
-            )
-            > 0
+        return slots(
+            spec, (kind.cpus - self.cpus, kind.gpus - self.gpus, kind.memory_gb - self.memory_gb)
         )
 
-    def take(self, spec: Job) -> None:
-        """Count a task in."""
-        self.cpus += spec.cpus
-        self.gpus += spec.gpus
-        self.memory_gb += spec.memory_gb
+    def take(self, spec: Job, count: int) -> None:
+        """Count tasks in."""
+        self.cpus += count * spec.cpus
+        self.gpus += count * spec.gpus
+        self.memory_gb += count * spec.memory_gb
+
+
+class Fleet:
+    """Machines to come, grouped by what they are, so that a job looks at a group once."""
+
+    def __init__(self, least_cpus: float) -> None:
+        # Machines with less room than any task takes are out of the search.
+        self.least_cpus = least_cpus
+        self.groups: dict[tuple[str, str, bool, str], list[Coming]] = {}
+
+    def add(self, machine: Coming) -> None:
+        """One more machine."""
+        key = (machine.kind.name, machine.zone, machine.spot, machine.shard)
+        self.groups.setdefault(key, []).append(machine)
+
+    def fill(self, spec: Job, count: int, shard: str | None, zones: dict[str, int]) -> int:
+        """Give tasks room; how many got it. `zones` counts the job's tasks by zone."""
+        placed = 0
+        cap = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
+        for (_, zone, spot, home), group in self.groups.items():
+            if (
+                not group
+                or (shard is not None and home not in ("", shard))
+                or (spot and not spec.spot)
+                or spec.zone not in (None, zone)
+                or not type_allowed(spec, group[0].kind)
+            ):
+                continue
+            full = False
+            for machine in group:
+                more = min(count - placed, cap - zones.get(zone, 0))
+                if more <= 0:
+                    break
+                more = min(more, machine.room(spec))
+                if more > 0:
+                    machine.take(spec, more)
+                    placed += more
+                    zones[zone] = zones.get(zone, 0) + more
+                    full = full or machine.kind.cpus - machine.cpus < self.least_cpus
+            if full:
+                group[:] = [m for m in group if m.kind.cpus - m.cpus >= self.least_cpus]
+            if placed >= count:
+                break
+        return placed
 
 
 class Provision:
@@ -249,6 +286,18 @@
         up = [n for n in owner.settings.nodes if HOLDER + n in owner.mirror.items]
         return {n: len(owner.by_shard.get(n, {})) for n in up or [owner.settings.node]}
 
+    def _homes(self, shard: str, count: int) -> list[str]:
+        """Shards for rented machines: the one they were rented for, else those with the fewest."""
+        if shard in self.owner.settings.nodes:
+            return [shard] * count
+        counts = self._shard_sizes()
+        homes = []
+        for _ in range(count):
+            home = _fewest(counts)
+            counts[home] += 1
+            homes.append(home)
+        return homes
+
     def options(self, job: JobRun, now: float) -> list[tuple[float, MachineType, str, bool]]:
         """What could be rented for a task of this job, cheapest per task first."""
         out = []
@@ -291,20 +340,22 @@
         owner = self.owner
         if any(key.startswith(RENTAL) for key in owner.mirror.items):
             return
-        coming = [
-            Coming.of(m)
-            for m in owner.machines.values()
-            if m.kind is not None and not m.record.leaving and owner.arrival(m) == "coming"
-        ]
-        wanted: dict[tuple[str, str, bool, str], int] = {}
+        for job in owner.jobs.values():
+            if job.array:
+                owner.rank(job)
         jobs = sorted(owner.jobs.values(), key=precedence)
+        coming = Fleet(min((j.spec.cpus for j in jobs), default=0.0))
+        for m in owner.machines.values():
+            if m.kind is not None and not m.record.leaving and owner.arrival(m) == "coming":
+                coming.add(Coming.of(m))
+        wanted: dict[tuple[str, str, bool, str], int] = {}
         for job in jobs:
             if not job.array and now - job.seen_at > 0.4:
                 for shard, count in self._lacking(job, now):
                     self._fill(job, count, shard, coming, wanted, now)
         self._fill_arrays([j for j in jobs if j.array], coming, wanted, now)
         for (name, zone, spot, shard), count in wanted.items():
-            self._rent_shared(name, zone, spot, shard, count)
+            self._rent_all(name, zone, spot, shard, count)
 
     def _lacking(self, job: JobRun, now: float) -> list[tuple[str | None, int]]:
         """Tasks without a place: those nobody claims, and those whose shard lacks the room."""
@@ -321,7 +372,7 @@
         job: JobRun,
         count: int,
         shard: str | None,
-        coming: list[Coming],
+        coming: Fleet,
         wanted: dict[tuple[str, str, bool, str], int],
         now: float,
     ) -> None:
@@ -329,33 +380,27 @@
         spec = job.spec
         zones = zone_counts(job)
         cap = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
-        for _ in range(min(count, 400)):
-            found = next(
-                (
-                    c
-                    for c in coming
-                    if zones.get(c.zone, 0) < cap
-                    and (shard is None or c.shard in ("", shard))
-                    and c.takes(spec)
-                ),
-                None,
-            )
-            if found is None:
-                choice = next((o for o in self.options(job, now) if zones.get(o[2], 0) < cap), None)
-                if choice is None:
-                    return
-                _, kind, zone, spot = choice
-                key = (kind.name, zone, spot, shard or "")
-                wanted[key] = wanted.get(key, 0) + 1
-                found = Coming(kind, zone, spot, shard or "")
-                coming.append(found)
-            found.take(spec)
-            zones[found.zone] = zones.get(found.zone, 0) + 1
+        count -= coming.fill(spec, count, shard, zones)
+        options = self.options(job, now) if count > 0 else []
+        while count > 0:
+            choice = next((o for o in options if zones.get(o[2], 0) < cap), None)
+            if choice is None:
+                return
+            _, kind, zone, spot = choice
+            key = (kind.name, zone, spot, shard or "")
+            wanted[key] = wanted.get(key, 0) + 1
+            found = Coming(kind, zone, spot, shard or "")
+            more = min(found.room(spec), count, cap - zones.get(zone, 0))
+            found.take(spec, more)
+            if kind.cpus - found.cpus >= coming.least_cpus:
+                coming.add(found)
+            count -= more
+            zones[zone] = zones.get(zone, 0) + more
 
     def _fill_arrays(
         self,
         jobs: list[JobRun],
-        coming: list[Coming],
+        coming: Fleet,
         wanted: dict[tuple[str, str, bool, str], int],
         now: float,
     ) -> None:
@@ -401,7 +446,7 @@
             lack = min(work / soon - have, job.unclaimed.bit_count() * weight)
             count = int(lack / weight + 0.5)
             if count <= 0 and not any(machine_allowed(job.spec, m) for m in usable):
-                count = 0 if any(k.takes(job.spec) for k in coming) else 1
+                count = 1
             if count > 0:
                 self._fill(job, count, None, coming, wanted, now)
                 have += count * weight
@@ -447,22 +492,10 @@
         owner = self.owner
         return owner.finish_within(job) * 0.7 - (owner.wall() - job.at)
 
-    def _rent_shared(self, name: str, zone: str, spot: bool, shard: str, count: int) -> None:
-        """Rent machines for a shard, or shared out among the shards that have fewest."""
-        if shard:
-            while count > 0:
-                self.rent(name, zone, spot, min(count, c.RENT_MOST), shard)
-                count -= c.RENT_MOST
-            return
-        counts = self._shard_sizes()
-        share = dict.fromkeys(counts, 0)
-        for _ in range(count):
-            fewest = _fewest(counts)
-            counts[fewest] += 1
-            share[fewest] += 1
-        for node, part in share.items():
-            if part:
-                self.rent(name, zone, spot, min(part, c.RENT_MOST), node)
+    def _rent_all(self, name: str, zone: str, spot: bool, shard: str, count: int) -> None:
+        """Rent machines, by as few calls as can be. Of one type, zone and kind only one call is
+        under way: its answer tells whether there are more to be had."""
+        self.rent(name, zone, spot, min(count, c.RENT_MOST), shard)
 
     def rent(self, kind: str, zone: str, spot: bool, count: int, shard: str) -> None:
         """Write a rental down, then ask the cloud for it."""
@@ -507,12 +540,13 @@
                 )
                 if len(answer.machines) < record.count:
                     self.full_until[place] = owner.now + 20.0
-                shard = name.partition(".")[2]
-                if shard not in owner.settings.nodes:
-                    shard = owner.settings.node
                 new = [m for m in answer.machines if m not in owner.machines]
-                parts = [new[i : i + 10] for i in range(0, len(new), 10)] or [[]]
-                self._record_rented(key, stamp, record, shard, parts)
+                homes = self._homes(name.partition(".")[2], len(new))
+                pairs = list(zip(new, homes, strict=True))
+                # A part must fit a transaction, with the rental's own key.
+                size = owner.settings.params.state.txn_ops - 1
+                parts = [pairs[i : i + size] for i in range(0, len(pairs), size)] or [[]]
+                self._record_rented(key, stamp, record, parts)
             elif status in (400, 503):
                 # A 503 was not executed; whoever still needs a machine asks under a new name.
                 if b"no capacity" in body or status == 400:
@@ -525,14 +559,14 @@
         return done
 
     def _record_rented(
-        self, key: str, stamp: int, record: RentalRecord, shard: str, parts: list[list[str]]
+        self, key: str, stamp: int, record: RentalRecord, parts: list[list[tuple[str, str]]]
     ) -> None:
         """Write the rented machines' records; with the last of them the rental is settled."""
         owner = self.owner
         part, rest = parts[0], parts[1:]
         changes: list[wire.Put | wire.Drop] = []
         conditions = []
-        for machine in part:
+        for machine, shard in part:
             new = MachineRecord(record.type, record.zone, record.spot, shard, "", owner.wall())
             changes.append(wire.Put(MACHINE + machine, new))
             conditions.append((MACHINE + machine, 0))
@@ -545,7 +579,7 @@
         def done(result: Result) -> None:
             self.busy.discard("rent:" + name)
             if result.outcome is Outcome.DONE and rest:
-                self._record_rented(key, stamp, record, shard, rest)
+                self._record_rented(key, stamp, record, rest)
 
         self._commit(changes, conditions, done)
 
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -51,6 +51,8 @@
         self.silent = max(3 * pace.report_s, pace.lease_s / 3)
         self.call_s = 4.0
         self.adopting: set[str] = set()
+        # Machines with orders that should not wait for the next report.
+        self.urgent: dict[str, Machine] = {}
         self.gone: dict[str, float] = {}
 
     # -- reports --------------------------------------------------------------------------------
@@ -88,7 +90,7 @@
         machine.answered_at = now
         orders = self.orders(machine, report.seq) if machine.known else []
         owner.effects.append(Reply(exchange, 200, w.Answer(token, orders)))
-        machine.urgent = False
+        self.urgent.pop(machine.name, None)
 
     def _elsewhere(self, machine: Machine, holder: str, body: bytes, exchange: object) -> None:
         """A report for another holder: send the worker there; if it has just been sent and is
@@ -432,21 +434,23 @@
         # Bounded, so that an answer stays far below the protocol's 64 KiB.
         return out[:200] + launches[: 400 - len(out[:200])]
 
+    def hurry(self, machine: Machine) -> None:
+        """Its orders should not wait for its next report."""
+        self.urgent[machine.name] = machine
+
     def flush(self, now: float) -> None:
         """Send urgent orders straight to the workers; the next report's answer repeats them."""
         owner = self.owner
         if not owner.leadership.acting(now):
             return
-        for machine in owner.machines.values():
-            if not machine.urgent:
-                continue
+        for machine in list(self.urgent.values()):
             shard = owner.held.get(machine.record.shard)
             if shard is None or shard.yielding or not machine.known or not machine.addr:
-                machine.urgent = False
+                del self.urgent[machine.name]
                 continue
             if machine.calling:
                 continue
-            machine.urgent = False
+            del self.urgent[machine.name]
             launched = [p for p in machine.tasks.values() if p.state == SENT and p.halt is None]
             before = {p.task: p.open_calls for p in launched}
             orders = self.orders(machine, None)
@@ -526,5 +530,5 @@
             )
         placement.halt = grace
         placement.for_whom = reason
-        placement.machine.urgent = True
+        self.hurry(placement.machine)
         self.owner.dirty = True
--- a/sagecove/storage/store.py
+++ b/sagecove/storage/store.py
@@ -17,6 +17,9 @@
 
 log = logging.getLogger("sagecove.store")
 
+# A transaction, who hears its outcome, its writes, and how often it was answered 429.
+Entry = tuple[wire.Transaction, "Callable[[Result], None]", int, int]
+
 Send = Callable[[str, str, Any, float, Callable[[int | None, bytes], None]], None]
 
 
@@ -53,14 +56,21 @@
     # Lengths of waits for an answer, as seen by a caller whose own users give up after 2 s or 5 s.
     READ_S = 1.3
     COMMIT_S = 2.5
+    TRIES = 4
 
     def __init__(self, rps: float, write_rps: float, nodes: int, now: float, send: Send) -> None:
         # This controller's share of the limits; a little is left for what others do in bursts.
         share = 0.95 / nodes
+        self.fair = rps * share
         self.requests = Budget(rps * share, rps * share, now)
         self.writes = Budget(write_rps * share, write_rps * 0.5, now)
+        # What others leave unused may be had: the share of writes grows while transactions wait
+        # and the service takes them, and is back at the fair one with the first 429.
+        self.fair_writes = write_rps * share
+        self.most_writes = write_rps * min(0.6, 2.5 * share)
+        self.grown_at = now
         self.send = send
-        self.waiting: deque[tuple[wire.Transaction, Callable[[Result], None], int]] = deque()
+        self.waiting: deque[Entry] = deque()
         self.hold_until = 0.0
         self.waiting_most = 400
 
@@ -74,7 +84,7 @@
     ) -> None:
         """Queue a transaction; `done` hears its outcome. `urgent` ones go first."""
         transaction = wire.Transaction([wire.Condition(k, s) for k, s in conditions], changes)
-        entry = (transaction, done, len(changes))
+        entry = (transaction, done, len(changes), 0)
         if len(self.waiting) >= self.waiting_most and not urgent:
             done(Result(Outcome.REFUSED))
         elif urgent:
@@ -85,23 +95,53 @@
     def flush(self, now: float) -> float | None:
         """Send what the budgets allow; seconds until more may be sent, None if nothing waits."""
         while self.waiting:
-            transaction, done, writes = self.waiting[0]
+            transaction, done, writes, tries = self.waiting[0]
             wait = max(
                 self.hold_until - now,
                 self.requests.delay(now),
                 self.writes.delay(now, writes),
             )
             if wait > 0:
+                if now - self.grown_at > 0.25 and now >= self.hold_until:
+                    self.grown_at = now
+                    self.writes.rate = min(self.most_writes, 1.15 * self.writes.rate)
                 return wait
             self.waiting.popleft()
             self.requests.spend(now)
             self.writes.spend(now, writes)
-            self.send("POST", "/commit", transaction, self.COMMIT_S, _committed(done))
+            self.send(
+                "POST",
+                "/commit",
+                transaction,
+                self.COMMIT_S,
+                self._again_if_throttled(transaction, done, writes, tries),
+            )
         return None
 
+    def _again_if_throttled(
+        self,
+        transaction: wire.Transaction,
+        done: Callable[[Result], None],
+        writes: int,
+        tries: int,
+    ) -> Callable[[int | None, bytes], None]:
+        """A 429 says that nothing was executed: the transaction waits for the next moment with
+        room rather than being given up, while its user's patience allows."""
+        finish = _committed(done)
+
+        def answered(status: int | None, body: bytes) -> None:
+            if status == 429 and tries < self.TRIES:
+                self.waiting.appendleft((transaction, done, writes, tries + 1))
+            else:
+                finish(status, body)
+
+        return answered
+
     def throttled(self, now: float, pause: float) -> None:
         """The service answered 429: everybody's burst is spent, so pause (the caller jitters)."""
         self.hold_until = max(self.hold_until, now + pause)
+        self.grown_at = now + 1.0
+        self.writes.rate = self.fair_writes
 
     def read(self, now: float, key: str, done: Callable[[int | None, bytes], None]) -> None:
         """Read one key."""
