--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+from bisect import bisect_right
 from typing import TYPE_CHECKING
 
 from sagecove.coordination.model import JobRun, Machine, Placement, Shard
@@ -24,6 +25,7 @@
     zone_counts,
 )
 from sagecove.protocol import state as wire
+from sagecove.protocol import workers as w
 from sagecove.protocol.users import DONE
 from sagecove.storage import taskset
 from sagecove.storage.records import HOLDER, JOB, OVER, QUOTA, OverRecord, QuotaRecord
@@ -56,8 +58,12 @@
         job.within and not victim.within and victim.spec.team != job.spec.team
     )
     # Never more than the need: no large task is stopped for a small one.
-    small = victim.spec.cpus > 8 * max(job.spec.cpus, 0.5)
-    return allowed and not small and standing(job) < standing(victim)
+    return allowed and victim.spec.cpus <= _largest_victim(job) and standing(job) < standing(victim)
+
+
+def _largest_victim(job: JobRun) -> float:
+    """CPUs of the largest task that may be stopped for one of this job."""
+    return 8 * max(job.spec.cpus, 0.5)
 
 
 class Claims:
@@ -81,6 +87,9 @@
         self.futile_making = Futile()
         # Jobs that have tasks running in the shard at hand: what may be stopped at all.
         self.running: list[JobRun] = []
+        self.sizes: list[float] = []
+        self.around: list[Machine] = []
+        self.yielding: dict[tuple[object, ...], dict[str, list[float]]] = {}
         self.retries: list[tuple[JobRun, Shard, dict[str, int], int]] = []
 
     def run(self, now: float) -> None:
@@ -253,18 +262,50 @@
     # -- placing --------------------------------------------------------------------------------
 
     def look_around(self, machines: list[Machine]) -> None:
-        """Note one job of each standing, team and size of task, of those running on machines."""
+        """Note the smallest job of each standing that is running on machines (of each team, where
+        teams matter): what there is to be stopped at all."""
         seen: dict[tuple[object, ...], JobRun] = {}
+        sizes: set[float] = set()
         for machine in machines:
             for p in machine.tasks.values():
-                if (job := p.job) is not None and p.live:
-                    seen[job.priority, job.within, job.spec.team, job.spec.cpus] = job
+                if (job := p.job) is not None and p.state != w.EXITED:
+                    key = (job.priority, job.within, "" if job.within else job.spec.team)
+                    if key not in seen or job.spec.cpus < seen[key].spec.cpus:
+                        seen[key] = job
+                    sizes.add(job.spec.cpus)
         self.running = list(seen.values())
+        self.sizes = sorted(sizes)
+        self.around = machines
+        self.yielding.clear()
 
     def _stoppable(self, job: JobRun) -> bool:
         """There is anything that the job may displace."""
         return any(may_stop(job, other) for other in self.running)
 
+    def _yielding(self, job: JobRun) -> dict[str, list[float]]:
+        """Room on machines that is held by what is on its way out or may be stopped for a job.
+        Many jobs have the same rights, so it is found once a pass for all of them."""
+        key = (
+            *_stopping_rank(job),
+            bisect_right(self.sizes, _largest_victim(job)),
+        )
+        found = self.yielding.get(key)
+        if found is None:
+            found = self.yielding[key] = {}
+            for machine in self.around:
+                for p in machine.tasks.values():
+                    other = p.job
+                    if (
+                        other is not None
+                        and p.state != w.EXITED
+                        and (p.halt is not None or may_stop(job, other))
+                    ):
+                        room = found.setdefault(machine.name, [0.0, 0.0, 0.0])
+                        room[0] += other.spec.cpus
+                        room[1] += other.spec.gpus
+                        room[2] += other.spec.memory_gb
+        return found
+
     def _withhold(
         self, shard: Shard, machines: list[Machine], ordered: list[JobRun]
     ) -> dict[str, JobRun]:
@@ -562,9 +603,26 @@
             if able > count:
                 count += self.could_make(job, able - count, machines, promised)
         if not count or (job.whole and count < wanted):
+            if job.gang:
+                self._gather(job, shard, wanted, machines, promised)
             return
         self.claim(job, shard, taskset.lowest(bits, count))
 
+    def _gather(
+        self, job: JobRun, shard: Shard, count: int, machines: list[Machine], promised: Room
+    ) -> None:
+        """A gang of whole machines does not fit yet: in the shard where it is served, what is free
+        waits for it. Else gangs of fewer tasks, which come later, would take each machine as it
+        comes free or up, and a large gang would never find its number."""
+        if self.owner.gang_home(job) != shard.name:
+            return
+        for machine in machines:
+            if count <= 0:
+                break
+            if suits(job, machine) and slots(job.spec, room_of(machine, promised)) > 0:
+                promise(promised, machine.name, job.spec)
+                count -= 1
+
     def could_make(self, job: JobRun, count: int, machines: list[Machine], promised: Room) -> int:
         """How many tasks would fit if others were stopped for them (nothing is stopped yet)."""
         making = 0
@@ -573,16 +631,17 @@
         if self.futile_making.known(job, rank) or not self._stoppable(job):
             return 0
         zones: set[str] = set()
+        yielding = self._yielding(job)
         for machine in machines:
             if making >= count:
                 break
-            if not machine.open or not suits(job, machine):
+            more = yielding.get(machine.name)
+            if (more is None and not job.whole) or not machine.open or not suits(job, machine):
                 continue
-            room = list(room_of(machine, promised))
-            for p in machine.tasks.values():
-                if p.live and p.job is not None and (p.halt is not None or may_stop(job, p.job)):
-                    room = [r + n for r, n in zip(room, _need(p.job), strict=True)]
-            if slots(spec, (room[0], room[1], room[2])) >= 1:
+            cpus, gpus, memory = room_of(machine, promised)
+            if more is not None:
+                cpus, gpus, memory = cpus + more[0], gpus + more[1], memory + more[2]
+            if slots(spec, (cpus, gpus, memory)) >= 1:
                 if spec.one_zone and zones and machine.record.zone not in zones:
                     continue
                 zones.add(machine.record.zone)
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -18,7 +18,14 @@
 from sagecove.coordination.effects import Answered, Asked, Call, Command, Effect, Reply
 from sagecove.coordination.leadership import Leadership
 from sagecove.coordination.model import JobRun, Machine, Placement, Shard
-from sagecove.coordination.placement import Room, fills_most, keep_reserved, plan, type_allowed
+from sagecove.coordination.placement import (
+    Room,
+    fills_most,
+    keep_reserved,
+    machine_allowed,
+    plan,
+    type_allowed,
+)
 from sagecove.coordination.provision import Provision
 from sagecove.coordination.quota import Quota
 from sagecove.coordination.users import Users
@@ -26,7 +33,7 @@
 from sagecove.protocol import state as wire
 from sagecove.protocol.cloud import MachineType
 from sagecove.protocol.peers import Hint, read_hint, read_promise
-from sagecove.protocol.users import CANCELLED, Refusal
+from sagecove.protocol.users import CANCELLED, Job, Refusal
 from sagecove.storage import records as r
 from sagecove.storage import taskset
 from sagecove.storage.mirror import Event, Item, Mirror
@@ -65,10 +72,13 @@
         self.machines: dict[str, Machine] = {}
         self.by_shard: dict[str, dict[str, Machine]] = {}
         self.types: dict[str, MachineType] = {}
+        # Rentals written down whose answers have not been.
+        self.rentals: dict[str, Item] = {}
         self.held: dict[str, Shard] = {}
         self.hints: dict[str, tuple[float, Hint]] = {}
         # Jobs short of room in the shard that must have them: (shard, tasks, when said).
         self.hungry: dict[str, tuple[str, int, float]] = {}
+        self.gang_homes: dict[tuple[object, ...], tuple[float, str | None]] = {}
         self.cancelled_lately: list[str] = []
         self.arrivals: dict[str, deque[float]] = {}
         self.class_dues: dict[str, list[tuple[bool, float]]] = {}
@@ -398,6 +408,11 @@
         self.dirty = True
         if key.startswith(r.JOB):
             self._job_changed(key[len(r.JOB) :], event)
+        elif key.startswith(r.RENTAL):
+            if event.value is None:
+                self.rentals.pop(key, None)
+            else:
+                self.rentals[key] = self.mirror.items[key]
         elif key.startswith(r.MACHINE):
             self._machine_changed(key[len(r.MACHINE) :], event)
         elif key == r.TYPES and event.value is not None:
@@ -519,6 +534,32 @@
                 job.limbo.pop(shard.name, None)
             self.dirty = True
 
+    def gang_home(self, job: JobRun) -> str | None:
+        """The shard that a gang of whole machines belongs to: the one with most machines for it.
+        None if several of its tasks share a machine, which any shard can provide."""
+        spec = job.spec
+        needs = (*(spec.types or ()), spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory_gb)
+        known = self.gang_homes.get(needs)
+        if known is not None and self.now < known[0]:
+            return known[1]
+        home = self._find_home(spec)
+        if len(self.gang_homes) > 200:
+            self.gang_homes.clear()
+        self.gang_homes[needs] = (self.now + 4 * TICK_S, home)
+        return home
+
+    def _find_home(self, spec: Job) -> str | None:
+        types = [t for t in self.types.values() if type_allowed(spec, t)]
+        if not types or not all(fills_most(spec, t) for t in types):
+            return None
+        counts = dict.fromkeys(sorted(self.settings.nodes), 0)
+        for shard, machines in self.by_shard.items():
+            if shard in counts:
+                counts[shard] = sum(
+                    not m.record.leaving and machine_allowed(spec, m) for m in machines.values()
+                )
+        return max(counts, key=lambda n: counts[n])
+
     def promised(self, shard: str) -> Room:
         """Room of a shard's machines that its claimed but unplaced tasks will take."""
         promised: Room = {}
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -17,7 +17,7 @@
 from sagecove.protocol import cloud as c
 from sagecove.protocol import state as wire
 from sagecove.protocol.cloud import MachineType
-from sagecove.protocol.users import Job
+from sagecove.protocol.users import GANG, Job
 from sagecove.storage.budget import Budget
 from sagecove.storage.records import (
     HOLDER,
@@ -53,6 +53,8 @@
     cpus: float = 0.0
     gpus: float = 0.0
     memory_gb: float = 0.0
+    # Up already, and free as far as gangs go.
+    gangs: bool = False
 
     @classmethod
     def of(cls, machine: Machine) -> Coming:
@@ -81,20 +83,21 @@
     def __init__(self, least_cpus: float) -> None:
         # Machines with less room than any task takes are out of the search.
         self.least_cpus = least_cpus
-        self.groups: dict[tuple[str, str, bool, str], list[Coming]] = {}
+        self.groups: dict[tuple[str, str, bool, str, bool], list[Coming]] = {}
 
     def add(self, machine: Coming) -> None:
         """One more machine."""
-        key = (machine.kind.name, machine.zone, machine.spot, machine.shard)
+        key = (machine.kind.name, machine.zone, machine.spot, machine.shard, machine.gangs)
         self.groups.setdefault(key, []).append(machine)
 
     def fill(self, spec: Job, count: int, shard: str | None, zones: dict[str, int]) -> int:
         """Give tasks room; how many got it. `zones` counts the job's tasks by zone."""
         placed = 0
         cap = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
-        for (_, zone, spot, home), group in self.groups.items():
+        for (_, zone, spot, home, gangs), group in self.groups.items():
             if (
                 not group
+                or (gangs and spec.kind != GANG)
                 or (shard is not None and home not in ("", shard))
                 or (spot and not spec.spot)
                 or spec.zone not in (None, zone)
@@ -338,7 +341,7 @@
     def _rent_what_lacks(self, now: float) -> None:
         """Rent for tasks that nobody has room for, beyond what is booting already."""
         owner = self.owner
-        if any(key.startswith(RENTAL) for key in owner.mirror.items):
+        if owner.rentals:
             return
         for job in owner.jobs.values():
             if job.array:
@@ -349,14 +352,52 @@
             if m.kind is not None and not m.record.leaving and owner.arrival(m) == "coming":
                 coming.add(Coming.of(m))
         wanted: dict[tuple[str, str, bool, str], int] = {}
+        homes = self._gang_homes(jobs, coming)
         for job in jobs:
             if not job.array and now - job.seen_at > 0.4:
                 for shard, count in self._lacking(job, now):
-                    self._fill(job, count, shard, coming, wanted, now)
+                    home = shard or homes.get(job.id)
+                    self._fill(job, count, home, coming, wanted, now)
         self._fill_arrays([j for j in jobs if j.array], coming, wanted, now)
         for (name, zone, spot, shard), count in wanted.items():
             self._rent_all(name, zone, spot, shard, count)
 
+    def _gang_homes(self, jobs: list[JobRun], coming: Fleet) -> dict[str, str]:
+        """Where gangs of whole machines are served: a gang must fit one shard, so what is rented
+        for one goes to the shard that has most of such machines. Those that no claim there needs
+        are free for the next gang, and are counted as room to come."""
+        owner = self.owner
+        homes: dict[str, str] = {}
+        free: dict[str, set[str]] = {}
+        for job in jobs:
+            if not job.gang or (home := owner.gang_home(job)) is None:
+                continue
+            homes[job.id] = home
+            claimed = job.claimed(home).bit_count()
+            hungry = owner.hungry.get(job.id)
+            if hungry is not None and owner.now - hungry[2] < 4.0:
+                claimed -= hungry[1]
+            if home not in free:
+                free[home] = {
+                    m.name
+                    for m in owner.by_shard.get(home, {}).values()
+                    if not m.record.leaving and not m.sick and owner.arrival(m) == "up"
+                }
+            # Which ones the claimed tasks are on only the holder knows: any will do here.
+            mine = [n for n in free[home] if machine_allowed(job.spec, owner.machines[n])]
+            for name in sorted(mine)[: max(0, claimed)]:
+                free[home].discard(name)
+        waiting = [j for j in jobs if j.id in homes and j.unclaimed]
+        for names in free.values():
+            for name in sorted(names):
+                machine = owner.machines[name]
+                if any(machine_allowed(j.spec, machine) for j in waiting):
+                    room = Coming.of(machine)
+                    # For gangs alone: other work may well have taken its part.
+                    room.gangs = True
+                    coming.add(room)
+        return homes
+
     def _lacking(self, job: JobRun, now: float) -> list[tuple[str | None, int]]:
         """Tasks without a place: those nobody claims, and those whose shard lacks the room."""
         out: list[tuple[str | None, int]] = []
@@ -508,9 +549,7 @@
     def _repeat_rentals(self, now: float) -> None:
         """Every rental written down is asked for, under its name, until its answer is recorded."""
         owner = self.owner
-        for key, item in list(owner.mirror.items.items()):
-            if not key.startswith(RENTAL) or item.value is None:
-                continue
+        for key, item in list(owner.rentals.items()):
             name = key[len(RENTAL) :]
             record: RentalRecord = item.value
             call = "rent:" + name
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -200,7 +200,7 @@
         promised = owner.promised(node)
         claims = owner.claims
         claims.futile = claims.futile_making = Futile()
-        claims.look_around(machines)
+        claims.look_around([m for m in machines if m.open])
         count = claims.fitting(job, node, machines, promised)
         if count < job.spec.tasks and job.priority >= 2:
             # Users wait for these: room is made at once where it may be.
--- a/sagecove/service.py
+++ b/sagecove/service.py
@@ -17,6 +17,9 @@
 
 log = logging.getLogger("sagecove.service")
 
+# Commands that come within this time are handled as one batch.
+GATHER_S = 0.004
+
 
 class Service:
     """A controller process."""
@@ -66,7 +69,7 @@
         self.queue.append(command)
         if not self.scheduled:
             self.scheduled = True
-            self.reactor.callLater(0, self._run)
+            self.reactor.callLater(GATHER_S, self._run)
 
     def _run(self) -> None:
         self.scheduled = False
--- a/sagecove/transport/server.py
+++ b/sagecove/transport/server.py
@@ -29,6 +29,13 @@
         else:
             self.content.write(data)
 
+    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
+        """All of a request is here. twisted would look into forms and cookies first, which nobody
+        sends here and which costs as much as all the rest of a worker's report."""
+        self.method, self.uri, self.clientproto = command, path, version
+        self.path = path
+        self.process()
+
     def process(self) -> None:
         """The request is complete."""
         self.notifyFinish().addErrback(self._lost)
