--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -120,7 +120,7 @@
                 self.look_around(every)
             self.withheld = self._withhold(shard, every, ordered)
             # DESIGN: fuller machines are preferred while some await their return.
-            self.packing = any(not m.tasks for m in every)
+            self.packing = len(steady) < len(every) or any(not m.tasks for m in every)
             # One order for what is claimed and what is not: else the room for a claim that is
             # under way would go to whoever comes after it.
             self.held_back = {}
@@ -611,10 +611,12 @@
     def _gather(
         self, job: JobRun, shard: Shard, count: int, machines: list[Machine], promised: Room
     ) -> None:
-        """A gang of whole machines does not fit yet: in the shard where it is served, what is free
-        waits for it. Else gangs of fewer tasks, which come later, would take each machine as it
-        comes free or up, and a large gang would never find its number."""
-        if self.owner.gang_home(job) != shard.name:
+        """A gang of whole machines does not fit yet. Smaller ones may go ahead of it for as long as
+        its own machines take to boot; from then on what is free where it is served waits for it,
+        or it might never find its number."""
+        owner = self.owner
+        boot = max((t.boot_s for t in owner.types.values()), default=0.0)
+        if owner.now - job.seen_at < 1.5 * boot or owner.gang_home(job) != shard.name:
             return
         for machine in machines:
             if count <= 0:
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -32,9 +32,8 @@
         # One claim for all tasks, so that rules over the job's tasks are decided in one place.
         self.whole = self.gang or self.spec.one_zone or self.spec.spread
         self.within = False
-        # A service that other machines suit stays off those with GPUs: it would keep them from
-        # the jobs that need them, for good. Unless it has lacked room for long.
-        self.off_gpus = False
+        # Types of machines that a service stays off while others suit it, see `Owner.settle`.
+        self.off: frozenset[str] = frozenset()
         self.lacking_since: float | None = None
         # Among jobs of equal standing: see `Owner.rank`.
         self.order = (0, 0.0)
@@ -167,6 +166,8 @@
         self.stamp = stamp
         self.seen_at = now
         self.kind: MachineType | None = None
+        # Class of its price, see `placement.dearness`.
+        self.dear = 0
         self.reset(now)
         self.images: OrderedDict[str, float] = OrderedDict()
         self.errors: dict[str, float] = {}
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -20,6 +20,7 @@
 from sagecove.coordination.model import JobRun, Machine, Placement, Shard
 from sagecove.coordination.placement import (
     Room,
+    dearness,
     fills_most,
     keep_reserved,
     machine_allowed,
@@ -72,6 +73,7 @@
         self.machines: dict[str, Machine] = {}
         self.by_shard: dict[str, dict[str, Machine]] = {}
         self.types: dict[str, MachineType] = {}
+        self.base_price = 0.0
         # Rentals written down whose answers have not been.
         self.rentals: dict[str, Item] = {}
         self.held: dict[str, Shard] = {}
@@ -417,8 +419,11 @@
             self._machine_changed(key[len(r.MACHINE) :], event)
         elif key == r.TYPES and event.value is not None:
             self.types = {t.name: t for t in event.value.types}
+            self.base_price = min(
+                (t.price / max(t.cpus, 0.1) for t in self.types.values()), default=0
+            )
             for machine in self.machines.values():
-                machine.kind = self.types.get(machine.record.type)
+                self._set_kind(machine)
         elif key.startswith(r.HOLDER) and event.value is None:
             self.leadership.check_holders()
 
@@ -463,9 +468,14 @@
                 machine.reset(self.now)
             machine.record = record
             machine.stamp = event.stamp
-        machine.kind = self.types.get(record.type)
+        self._set_kind(machine)
         self.by_shard.setdefault(record.shard, {})[name] = machine
 
+    def _set_kind(self, machine: Machine) -> None:
+        machine.kind = kind = self.types.get(machine.record.type)
+        if kind is not None:
+            machine.dear = dearness(kind, machine.record.spot, self.base_price)
+
     # -- shards ---------------------------------------------------------------------------------
 
     def shard_machines(self, shard: str) -> list[Machine]:
@@ -688,17 +698,24 @@
         job.order = (0, work) if feasible else (1, job.at)
 
     def settle(self, job: JobRun) -> None:
-        """Where a service may go, see `JobRun.off_gpus`."""
+        """Where a service may go: not on machines with GPUs if others suit it, since it would keep
+        them from the jobs that need them, for good, or keep a dear machine from its return. If it
+        lacks room for a moment, those that no gang asks for will do; if it does for long, any."""
         if not job.unclaimed and not any(job.placeable(shard) for shard in self.held):
             job.lacking_since = None
         elif job.lacking_since is None:
             job.lacking_since = self.now
+        job.off = frozenset()
         spec = job.spec
-        job.off_gpus = (
-            spec.gpus == 0
-            and any(t.gpus == 0 and type_allowed(spec, t) for t in self.types.values())
-            and (job.lacking_since is None or self.now - job.lacking_since < 10.0)
-        )
+        waited = self.now - job.lacking_since if job.lacking_since is not None else 0.0
+        if spec.gpus > 0 or waited > 10.0:
+            return
+        fitting = [t for t in self.types.values() if type_allowed(spec, t)]
+        gpus = {t.name for t in fitting if t.gpus > 0}
+        if len(gpus) < len(fitting):
+            if waited > self.claims.poll_s / 2:
+                gpus &= self.arrivals.keys()
+            job.off = frozenset(gpus)
 
     def finish_within(self, job: JobRun) -> float:
         """How long a job may take from its submission, by its deadline or its class's aims."""
--- a/sagecove/coordination/placement.py
+++ b/sagecove/coordination/placement.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Iterable
 from itertools import groupby
+from math import log
 from random import Random
 
 from sagecove.coordination.model import EPS, JobRun, Machine
@@ -44,10 +45,18 @@
     """The job allows this machine, and should be there."""
     kind = machine.kind
     return machine_allowed(job.spec, machine) and not (
-        job.off_gpus and kind is not None and kind.gpus > 0
+        job.off and kind is not None and kind.name in job.off
     )
 
 
+def dearness(kind: MachineType, spot: bool, base: float) -> int:
+    """Class of a machine's price by the CPU: 0 up to `base`, the cheapest type's ordinary price,
+    then a class for each factor of about 3.5 (what divides spot from ordinary machines)."""
+    price = kind.spot_price if spot and kind.spot_price else kind.price
+    times = price / max(kind.cpus, 0.1) / base if base > 0 else 1.0
+    return 0 if times <= 1 else 1 + int(log(times, 3.5))
+
+
 def slots(spec: Job, room: tuple[float, float, float]) -> int:
     """How many tasks fit a room."""
     cpus, gpus, memory = room
@@ -73,7 +82,8 @@
     @staticmethod
     def _key(job: JobRun) -> tuple[object, ...]:
         spec = job.spec
-        return (tuple(spec.types) if spec.types else None, spec.zone, spec.spot, job.array)
+        types = tuple(spec.types) if spec.types else None
+        return (types, spec.zone, spec.spot, job.array, job.off)
 
     def known(self, job: JobRun, rank: object = None) -> bool:
         """Looking is known to be futile for a job (of this rank, where rank matters)."""
@@ -116,11 +126,12 @@
 
 def rank(job: JobRun, machine: Machine) -> tuple[int, int, int]:
     """Groups of machines, best first: without GPUs the task has no use for, of the cheaper kind
-    where the job may use it, with its image."""
+    where the job may use it, with its image. Arrays fill the dear ones last, whatever images are
+    there: those are to run empty and be returned as soon as there is less to do."""
     spec = job.spec
     kind = machine.kind
     assert kind is not None
-    waste = 1 if kind.gpus > 0 and spec.gpus == 0 else 0
+    waste = machine.dear if job.array else 1 if kind.gpus > 0 and spec.gpus == 0 else 0
     wrong_kind = 0 if machine.record.spot == spec.spot else 1
     return waste, 0 if spec.image in machine.images else 1, wrong_kind
 
@@ -250,11 +261,12 @@
     waiting = iter(indexes)
     for _, group in groupby(ranked, key=lambda pair: pair[0]):
         machines = [machine for _, machine in group]
-        if packing:
+        filling = packing or machines[0].dear > 0
+        if filling:
             random.shuffle(machines)
             machines.sort(key=lambda m: -room_of(m, promised)[0])
         while machines:
-            at = len(machines) - 1 if packing else random.randrange(len(machines))
+            at = len(machines) - 1 if filling else random.randrange(len(machines))
             index = next(waiting, None)
             if index is None:
                 return planned
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -468,11 +468,13 @@
         work = peak = 0.0
         needed_kinds: set[str] = set()
         for job in jobs:
-            left = job.unfinished.bit_count()
+            # What is claimed is mostly under way, on average half done.
+            unclaimed = job.unclaimed.bit_count()
+            left = (job.unfinished.bit_count() + unclaimed) / 2
             limit = owner.quota.teams.get(job.spec.team)
             if limit is not None and job.spec.cpus > 0:
                 # More than its team may use at one time would not run anyway.
-                left = min(left, 4 * max(1, int(limit.cpus_max / job.spec.cpus)))
+                left = min(left, 4.0 * max(1, int(limit.cpus_max / job.spec.cpus)))
             weight = self._weight(job)
             run = max(1.0, owner.expected(job))
             work += left * run * weight
