--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -145,7 +145,7 @@
             waits.append(self._pass_s() - (self.now - self.passed_at))
         if self.sync_wanted and not self.syncing:
             waits.append(self.sync_at - self.now)
-        if self.store.waiting:
+        if self.store.queued:
             waits.append(self.store.flush(self.now) or 0.01)
         return max(0.002, min(waits))
 
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -114,7 +114,7 @@
         if job.id in self.submitting:
             self.submitting[job.id].append(exchange)
             return
-        if len(owner.store.waiting) > 100:
+        if len(owner.store.urgent) > 100:
             self.later(exchange, "too many requests at once", 2.0)
             return
         self._store(job, exchange)
@@ -148,7 +148,8 @@
         run = JobRun(record, 0)
         if run.service:
             owner.settle(run)
-        claimed = self._claim_now(run)
+        # Many at once: that each of them is durable soon comes first.
+        claimed = None if owner.store.short(owner.now) else self._claim_now(run)
         if claimed is not None:
             changes, more = claimed
             conditions += more
--- a/sagecove/storage/budget.py
+++ b/sagecove/storage/budget.py
@@ -2,7 +2,8 @@
 
 
 class Budget:
-    """A bucket refilled at `rate` a second, holding at most `burst`; it may go into debt."""
+    """A bucket refilled at `rate` a second, holding at most `burst`; it may go into debt, by no
+    more than that, so that a flood of what must not wait does not stop all else for long."""
 
     def __init__(self, rate: float, burst: float, now: float) -> None:
         self.rate = rate
@@ -20,4 +21,4 @@
     def spend(self, now: float, amount: float = 1.0) -> None:
         """Take `amount`, owed if it is not there: some requests must not wait."""
         self.delay(now, 0.0)
-        self._level -= amount
+        self._level = max(self._level - amount, -self.burst)
--- a/sagecove/storage/store.py
+++ b/sagecove/storage/store.py
@@ -56,7 +56,7 @@
     # Lengths of waits for an answer, as seen by a caller whose own users give up after 2 s or 5 s.
     READ_S = 1.3
     COMMIT_S = 2.5
-    TRIES = 4
+    TRIES = 8
 
     def __init__(self, rps: float, write_rps: float, nodes: int, now: float, send: Send) -> None:
         # This controller's share of the limits; a little is left for what others do in bursts.
@@ -71,6 +71,9 @@
         self.grown_at = now
         self.send = send
         self.waiting: deque[Entry] = deque()
+        # Users and leases wait for these: they go first, and without regard to this controller's
+        # share, which the others owe then. All that holds them up is the service's own 429.
+        self.urgent: deque[Entry] = deque()
         self.hold_until = 0.0
         self.waiting_most = 400
 
@@ -85,57 +88,55 @@
         """Queue a transaction; `done` hears its outcome. `urgent` ones go first."""
         transaction = wire.Transaction([wire.Condition(k, s) for k, s in conditions], changes)
         entry = (transaction, done, len(changes), 0)
-        if len(self.waiting) >= self.waiting_most and not urgent:
+        if urgent:
+            self.urgent.append(entry)
+        elif len(self.waiting) >= self.waiting_most:
             done(Result(Outcome.REFUSED))
-        elif urgent:
-            self.waiting.appendleft(entry)
         else:
             self.waiting.append(entry)
 
+    @property
+    def queued(self) -> bool:
+        """Transactions wait to be sent."""
+        return bool(self.waiting or self.urgent)
+
+    def short(self, now: float) -> bool:
+        """Writes are scarce: what can do without some should."""
+        return bool(self.urgent) or self.writes.delay(now, self.writes.burst / 4) > 0
+
     def flush(self, now: float) -> float | None:
         """Send what the budgets allow; seconds until more may be sent, None if nothing waits."""
-        while self.waiting:
-            transaction, done, writes, tries = self.waiting[0]
-            wait = max(
-                self.hold_until - now,
-                self.requests.delay(now),
-                self.writes.delay(now, writes),
-            )
+        while self.queued:
+            wait = self.hold_until - now
+            if wait > 0:
+                return wait
+            if self.urgent:
+                self._send(now, self.urgent.popleft(), self.urgent)
+                continue
+            wait = max(self.requests.delay(now), self.writes.delay(now, self.waiting[0][2]))
             if wait > 0:
-                if now - self.grown_at > 0.25 and now >= self.hold_until:
+                if now - self.grown_at > 0.25:
                     self.grown_at = now
                     self.writes.rate = min(self.most_writes, 1.15 * self.writes.rate)
                 return wait
-            self.waiting.popleft()
-            self.requests.spend(now)
-            self.writes.spend(now, writes)
-            self.send(
-                "POST",
-                "/commit",
-                transaction,
-                self.COMMIT_S,
-                self._again_if_throttled(transaction, done, writes, tries),
-            )
+            self._send(now, self.waiting.popleft(), self.waiting)
         return None
 
-    def _again_if_throttled(
-        self,
-        transaction: wire.Transaction,
-        done: Callable[[Result], None],
-        writes: int,
-        tries: int,
-    ) -> Callable[[int | None, bytes], None]:
-        """A 429 says that nothing was executed: the transaction waits for the next moment with
-        room rather than being given up, while its user's patience allows."""
+    def _send(self, now: float, entry: Entry, queue: deque[Entry]) -> None:
+        transaction, done, writes, tries = entry
+        self.requests.spend(now)
+        self.writes.spend(now, writes)
         finish = _committed(done)
 
         def answered(status: int | None, body: bytes) -> None:
+            # A 429 says that nothing was executed: the transaction waits for the next moment
+            # with room rather than being given up, while its user's patience allows.
             if status == 429 and tries < self.TRIES:
-                self.waiting.appendleft((transaction, done, writes, tries + 1))
+                queue.appendleft((transaction, done, writes, tries + 1))
             else:
                 finish(status, body)
 
-        return answered
+        self.send("POST", "/commit", transaction, self.COMMIT_S, answered)
 
     def throttled(self, now: float, pause: float) -> None:
         """The service answered 429: everybody's burst is spent, so pause (the caller jitters)."""
