--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -73,6 +73,7 @@
         self.owner = owner
         # DESIGN's pollInterval is 1.5 s with a lease of 20 s: kept as a ratio to the report pace.
         self.poll_s = min(1.5, owner.settings.params.workers.report_s / 2)
+        self.record_s = owner.settings.params.workers.lease_s / 4
         self.open_claims = 0
         # Jobs that the last pass had to look at.
         self.open_jobs = 0
@@ -173,10 +174,10 @@
             for s in shards:
                 fresh |= job.claims.get(s.name, 0) & job.fresh
             fin = job.fin | fresh
-            # Tasks of a large array end all the time: their numbers are written together, at the
-            # pace of the polls, unless nothing of the job is left to run here.
+            # Tasks of a large array end all the time: their numbers are written together, unless
+            # nothing of the job is left to run here. Until then the workers keep them.
             more = any(job.claimed(s.name) for s in shards)
-            if more and now - job.recorded_at < self.poll_s:
+            if more and now - job.recorded_at < self.record_s:
                 continue
             job.recorded_at = now
             key = JOB + job.id
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -13,7 +13,13 @@
 
 from sagecove.coordination.claims import precedence
 from sagecove.coordination.model import JobRun, Machine
-from sagecove.coordination.placement import machine_allowed, slots, type_allowed, zone_counts
+from sagecove.coordination.placement import (
+    dearness,
+    machine_allowed,
+    slots,
+    type_allowed,
+    zone_counts,
+)
 from sagecove.protocol import cloud as c
 from sagecove.protocol import state as wire
 from sagecove.protocol.cloud import MachineType
@@ -416,17 +422,21 @@
         coming: Fleet,
         wanted: dict[tuple[str, str, bool, str], int],
         now: float,
-    ) -> None:
-        """Find room for tasks on machines to come, else on machines to be rented."""
+        dearest: int = 99,
+    ) -> int:
+        """Find room for tasks on machines to come, else on machines to be rented that are no
+        dearer than a class; how many found none."""
         spec = job.spec
         zones = zone_counts(job)
         cap = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
         count -= coming.fill(spec, count, shard, zones)
+        base = self.owner.base_price
         options = self.options(job, now) if count > 0 else []
+        options = [o for o in options if dearness(o[1], o[3], base) <= dearest]
         while count > 0:
             choice = next((o for o in options if zones.get(o[2], 0) < cap), None)
             if choice is None:
-                return
+                break
             _, kind, zone, spot = choice
             key = (kind.name, zone, spot, shard or "")
             wanted[key] = wanted.get(key, 0) + 1
@@ -437,6 +447,11 @@
                 coming.add(found)
             count -= more
             zones[zone] = zones.get(zone, 0) + more
+        return count
+
+    def _cheap(self, kind: MachineType) -> bool:
+        """Machines of a type are among the cheap, at least as spot machines."""
+        return dearness(kind, True, self.owner.base_price) <= 1
 
     def _fill_arrays(
         self,
@@ -484,9 +499,17 @@
             fitting = [t for t in owner.types.values() if type_allowed(job.spec, t)]
             if fitting:
                 needed_kinds.add(min(fitting, key=lambda t: t.price).name)
-            if not job.unclaimed or now - job.seen_at < 0.4:
+            if not unclaimed or now - job.seen_at < 0.4:
                 continue
-            lack = min(work / soon - have, job.unclaimed.bit_count() * weight)
+            # Cheap machines are rented for all that would otherwise still wait when they are up;
+            # dear ones only for what would be late.
+            boot = max((t.boot_s for t in fitting if self._cheap(t)), default=0.0)
+            if boot:
+                quick = max(min(soon, boot + run), 10.0)
+                lack = min(work / quick - have, unclaimed * weight)
+                if (count := int(lack / weight + 0.5)) > 0:
+                    have += weight * (count - self._fill(job, count, None, coming, wanted, now, 1))
+            lack = min(work / soon - have, unclaimed * weight)
             count = int(lack / weight + 0.5)
             if count <= 0 and not any(machine_allowed(job.spec, m) for m in usable):
                 count = 1
--- a/sagecove/coordination/quota.py
+++ b/sagecove/coordination/quota.py
@@ -157,7 +157,10 @@
     def trims(self, now: float) -> list[tuple[str, str, QuotaRecord]]:
         """Allotments to give back because the team is near its limit: (team, shard, record)."""
         out = []
+        waiting = {job.spec.team for job in self.owner.jobs.values() if job.unclaimed}
         for team, limit in self.teams.items():
+            if team not in waiting:
+                continue
             spare = self.spare(team)
             tight = spare[0] < 0.25 * limit.cpus_max or (
                 limit.gpus_max > 0 and spare[1] < 0.25 * limit.gpus_max
