--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -700,7 +700,8 @@
     def settle(self, job: JobRun) -> None:
         """Where a service may go: not on machines with GPUs if others suit it, since it would keep
         them from the jobs that need them, for good, or keep a dear machine from its return. If it
-        lacks room for a moment, those that no gang asks for will do; if it does for long, any."""
+        lacks room for a moment, those that no gang asks for will do. Any will only if it still
+        does when machines rented for it should long be up."""
         if not job.unclaimed and not any(job.placeable(shard) for shard in self.held):
             job.lacking_since = None
         elif job.lacking_since is None:
@@ -708,9 +709,9 @@
         job.off = frozenset()
         spec = job.spec
         waited = self.now - job.lacking_since if job.lacking_since is not None else 0.0
-        if spec.gpus > 0 or waited > 10.0:
-            return
         fitting = [t for t in self.types.values() if type_allowed(spec, t)]
+        if spec.gpus > 0 or waited > 2 * max((t.boot_s for t in fitting), default=0.0):
+            return
         gpus = {t.name for t in fitting if t.gpus > 0}
         if len(gpus) < len(fitting):
             if waited > self.claims.poll_s / 2:
