--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -83,6 +83,8 @@
         self.gang_homes: dict[tuple[object, ...], tuple[float, str | None]] = {}
         self.cancelled_lately: list[str] = []
         self.arrivals: dict[str, deque[float]] = {}
+        # Types of machines that gangs ask for, each task one of its own.
+        self.gang_types: set[str] = set()
         self.class_dues: dict[str, list[tuple[bool, float]]] = {}
         self.class_run: dict[str, float] = {}
         self.counts: dict[str, int] = {}
@@ -649,6 +651,8 @@
         kind = min(fitting, key=lambda t: t.price)
         if fills_most(job.spec, kind):
             self.arrivals.setdefault(kind.name, deque(maxlen=8)).append(self.now)
+            if job.gang:
+                self.gang_types.add(kind.name)
 
     # -- what is learned ------------------------------------------------------------------------
 
@@ -715,7 +719,7 @@
         gpus = {t.name for t in fitting if t.gpus > 0}
         if len(gpus) < len(fitting):
             if waited > self.claims.poll_s / 2:
-                gpus &= self.arrivals.keys()
+                gpus &= self.gang_types
             job.off = frozenset(gpus)
 
     def finish_within(self, job: JobRun) -> float:
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
 from sagecove.coordination.claims import precedence
@@ -96,13 +96,22 @@
         key = (machine.kind.name, machine.zone, machine.spot, machine.shard, machine.gangs)
         self.groups.setdefault(key, []).append(machine)
 
-    def fill(self, spec: Job, count: int, shard: str | None, zones: dict[str, int]) -> int:
-        """Give tasks room; how many got it. `zones` counts the job's tasks by zone."""
+    def fill(
+        self,
+        spec: Job,
+        count: int,
+        shard: str | None,
+        zones: dict[str, int],
+        avoid: Collection[str] = (),
+    ) -> int:
+        """Give tasks room; how many got it. `zones` counts the job's tasks by zone; ordinary
+        machines of the types in `avoid` are left to others."""
         placed = 0
         cap = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
-        for (_, zone, spot, home, gangs), group in self.groups.items():
+        for (kind, zone, spot, home, gangs), group in self.groups.items():
             if (
                 not group
+                or (not spot and kind in avoid)
                 or (gangs and spec.kind != GANG)
                 or (shard is not None and home not in ("", shard))
                 or (spot and not spec.spot)
@@ -429,10 +438,12 @@
         spec = job.spec
         zones = zone_counts(job)
         cap = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
-        count -= coming.fill(spec, count, shard, zones)
+        avoid = self._avoid(job)
+        count -= coming.fill(spec, count, shard, zones, avoid)
         base = self.owner.base_price
         options = self.options(job, now) if count > 0 else []
         options = [o for o in options if dearness(o[1], o[3], base) <= dearest]
+        options = [o for o in options if o[3] or o[1].name not in avoid] or options
         while count > 0:
             choice = next((o for o in options if zones.get(o[2], 0) < cap), None)
             if choice is None:
@@ -449,6 +460,15 @@
             zones[zone] = zones.get(zone, 0) + more
         return count
 
+    def _avoid(self, job: JobRun) -> Collection[str]:
+        """Types whose ordinary machines are rented for gangs: no room for other work is seen in
+        them, or what that work really needs would not be rented."""
+        gang_types = self.owner.gang_types
+        if job.gang or not gang_types:
+            return ()
+        others = (t for t in self.owner.types.values() if t.name not in gang_types)
+        return gang_types if any(type_allowed(job.spec, t) for t in others) else ()
+
     def _cheap(self, kind: MachineType) -> bool:
         """Machines of a type are among the cheap, at least as spot machines."""
         return dearness(kind, True, self.owner.base_price) <= 1
@@ -473,10 +493,11 @@
                 and not machine.sick
                 and owner.arrival(machine) != "overdue"
             ):
-                have += machine.kind.cpus
+                if machine.record.spot or machine.record.type not in owner.gang_types:
+                    have += machine.kind.cpus
                 usable.append(machine)
         for other in owner.jobs.values():
-            if not other.array:
+            if not other.array and not (other.gang and owner.gang_home(other)):
                 claimed = (other.unfinished & ~other.unclaimed).bit_count()
                 have -= claimed * self._weight(other)
         have = max(0.0, have) * 0.9
