--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -59,12 +59,8 @@
     allowed = victim.priority < job.priority or (
         job.within and not victim.within and victim.spec.team != job.spec.team
     )
-    # A gang has its room kept by `_withhold`, so arrays do not take it back.
-    ahead = standing(job) < standing(victim) or (
-        job.gang and victim.array and victim.priority < job.priority
-    )
     # Never more than the need: no large task is stopped for a small one.
-    return allowed and ahead and victim.spec.cpus <= _largest_victim(job)
+    return allowed and victim.spec.cpus <= _largest_victim(job) and standing(job) < standing(victim)
 
 
 def _largest_victim(job: JobRun) -> float:
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -461,10 +461,10 @@
         return count
 
     def _avoid(self, job: JobRun) -> Collection[str]:
-        """Types whose ordinary machines are rented for gangs: no room for other work is seen in
-        them, or what that work really needs would not be rented."""
+        """Types whose ordinary machines are rented for gangs: no room for services is seen in
+        them, or what those may really use would not be rented, see `Owner.settle`."""
         gang_types = self.owner.gang_types
-        if job.gang or not gang_types:
+        if not job.service or not gang_types:
             return ()
         others = (t for t in self.owner.types.values() if t.name not in gang_types)
         return gang_types if any(type_allowed(job.spec, t) for t in others) else ()
@@ -493,11 +493,10 @@
                 and not machine.sick
                 and owner.arrival(machine) != "overdue"
             ):
-                if machine.record.spot or machine.record.type not in owner.gang_types:
-                    have += machine.kind.cpus
+                have += machine.kind.cpus
                 usable.append(machine)
         for other in owner.jobs.values():
-            if not other.array and not (other.gang and owner.gang_home(other)):
+            if not other.array:
                 claimed = (other.unfinished & ~other.unclaimed).bit_count()
                 have -= claimed * self._weight(other)
         have = max(0.0, have) * 0.9
