--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -36,10 +36,8 @@
 
 log = logging.getLogger("sagecove.claims")
 
-# The paper's batchSize (40) bounds what one poll claims. Here: claims of arrays under way at one
-# time, each of which writes a job's record anew. Jobs claimed as a whole do not count: they often
-# come after a backlog of arrays that would take up any number.
-BATCH = 8
+# The paper's batchSize bounds what one poll claims; here: claims under way at one time.
+BATCH = 4
 
 
 def precedence(job: JobRun) -> tuple[bool, bool, int, int, float, float]:
@@ -587,7 +585,7 @@
             indexes = list(taskset.members(taskset.lowest(job.claiming[1], 1000)))
             plan(job, indexes, machines, owner.random, promised)
             return
-        if self.open_claims >= BATCH and not job.whole:
+        if self.open_claims >= BATCH:
             return
         if job.committing or now < job.claim_after or now < job.hold_until:
             return
@@ -663,7 +661,7 @@
             job.claim_after = owner.now + self.poll_s / 2
             return
         changes, conditions = made
-        self.open_claims += not job.whole
+        self.open_claims += 1
         job.committing = True
         job.claiming = (shard.name, bits)
         owner.quota.forget()
@@ -671,7 +669,7 @@
         def done(result: Result) -> None:
             job.committing = False
             job.claiming = None
-            self.open_claims -= not job.whole
+            self.open_claims -= 1
             owner.dirty = True
             if result.outcome is Outcome.DONE:
                 return
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -83,8 +83,6 @@
         self.gang_homes: dict[tuple[object, ...], tuple[float, str | None]] = {}
         self.cancelled_lately: list[str] = []
         self.arrivals: dict[str, deque[float]] = {}
-        # Types of machines that gangs ask for, each task one of its own.
-        self.gang_types: set[str] = set()
         self.class_dues: dict[str, list[tuple[bool, float]]] = {}
         self.class_run: dict[str, float] = {}
         self.counts: dict[str, int] = {}
@@ -651,8 +649,6 @@
         kind = min(fitting, key=lambda t: t.price)
         if fills_most(job.spec, kind):
             self.arrivals.setdefault(kind.name, deque(maxlen=8)).append(self.now)
-            if job.gang:
-                self.gang_types.add(kind.name)
 
     # -- what is learned ------------------------------------------------------------------------
 
@@ -704,8 +700,7 @@
     def settle(self, job: JobRun) -> None:
         """Where a service may go: not on machines with GPUs if others suit it, since it would keep
         them from the jobs that need them, for good, or keep a dear machine from its return. If it
-        lacks room for a moment, those that no gang asks for will do. Any will only if it still
-        does when machines rented for it should long be up."""
+        lacks room for a moment, those that no gang asks for will do; if it does for long, any."""
         if not job.unclaimed and not any(job.placeable(shard) for shard in self.held):
             job.lacking_since = None
         elif job.lacking_since is None:
@@ -713,13 +708,13 @@
         job.off = frozenset()
         spec = job.spec
         waited = self.now - job.lacking_since if job.lacking_since is not None else 0.0
-        fitting = [t for t in self.types.values() if type_allowed(spec, t)]
-        if spec.gpus > 0 or waited > 2 * max((t.boot_s for t in fitting), default=0.0):
+        if spec.gpus > 0 or waited > 10.0:
             return
+        fitting = [t for t in self.types.values() if type_allowed(spec, t)]
         gpus = {t.name for t in fitting if t.gpus > 0}
         if len(gpus) < len(fitting):
             if waited > self.claims.poll_s / 2:
-                gpus &= self.gang_types
+                gpus &= self.arrivals.keys()
             job.off = frozenset(gpus)
 
     def finish_within(self, job: JobRun) -> float:
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 import logging
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from sagecove.coordination.claims import precedence
@@ -96,22 +96,13 @@
         key = (machine.kind.name, machine.zone, machine.spot, machine.shard, machine.gangs)
         self.groups.setdefault(key, []).append(machine)
 
-    def fill(
-        self,
-        spec: Job,
-        count: int,
-        shard: str | None,
-        zones: dict[str, int],
-        avoid: Collection[str] = (),
-    ) -> int:
-        """Give tasks room; how many got it. `zones` counts the job's tasks by zone; ordinary
-        machines of the types in `avoid` are left to others."""
+    def fill(self, spec: Job, count: int, shard: str | None, zones: dict[str, int]) -> int:
+        """Give tasks room; how many got it. `zones` counts the job's tasks by zone."""
         placed = 0
         cap = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
-        for (kind, zone, spot, home, gangs), group in self.groups.items():
+        for (_, zone, spot, home, gangs), group in self.groups.items():
             if (
                 not group
-                or (not spot and kind in avoid)
                 or (gangs and spec.kind != GANG)
                 or (shard is not None and home not in ("", shard))
                 or (spot and not spec.spot)
@@ -438,12 +429,10 @@
         spec = job.spec
         zones = zone_counts(job)
         cap = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
-        avoid = self._avoid(job)
-        count -= coming.fill(spec, count, shard, zones, avoid)
+        count -= coming.fill(spec, count, shard, zones)
         base = self.owner.base_price
         options = self.options(job, now) if count > 0 else []
         options = [o for o in options if dearness(o[1], o[3], base) <= dearest]
-        options = [o for o in options if o[3] or o[1].name not in avoid] or options
         while count > 0:
             choice = next((o for o in options if zones.get(o[2], 0) < cap), None)
             if choice is None:
@@ -460,15 +449,6 @@
             zones[zone] = zones.get(zone, 0) + more
         return count
 
-    def _avoid(self, job: JobRun) -> Collection[str]:
-        """Types whose ordinary machines are rented for gangs: no room for services is seen in
-        them, or what those may really use would not be rented, see `Owner.settle`."""
-        gang_types = self.owner.gang_types
-        if not job.service or not gang_types:
-            return ()
-        others = (t for t in self.owner.types.values() if t.name not in gang_types)
-        return gang_types if any(type_allowed(job.spec, t) for t in others) else ()
-
     def _cheap(self, kind: MachineType) -> bool:
         """Machines of a type are among the cheap, at least as spot machines."""
         return dearness(kind, True, self.owner.base_price) <= 1
