--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -142,6 +142,9 @@
         names = [shard.name for shard in shards]
         found = []
         for job in owner.jobs.values():
+            if owner.failures.suspect(job) and not self._may_probe(job):
+                # Fails wherever it runs: until its next try it costs nobody anything.
+                continue
             if (
                 job.unclaimed
                 or job.reserved
@@ -159,6 +162,11 @@
         found.sort(key=precedence)
         return found
 
+    def _may_probe(self, job: JobRun) -> bool:
+        """It is time for a job that fails everywhere to be tried once more. Others leave that to
+        the controller that has seen it fail."""
+        return job.blamed and self.owner.now >= job.hold_until and not job.placed
+
     # -- results --------------------------------------------------------------------------------
 
     def _record(self, now: float, shards: list[Shard]) -> None:
@@ -396,7 +404,8 @@
         allowed = self._limited(job, owner.quota.places(name, spec, wanted))
         indexes: list[int] = []
         if allowed >= wanted or (allowed > 0 and not job.gang):
-            indexes = list(taskset.members(taskset.lowest(bits, min(allowed, 1000))))
+            most = 1 if job.blamed and not job.gang else 1000
+            indexes = list(taskset.members(taskset.lowest(bits, min(allowed, most))))
         usable = machines
         if not job.array:
             # An earlier attempt that has exited is still to be removed from some.
@@ -419,7 +428,7 @@
             for index, machine in planned:
                 self._start(now, job, index, machine, attempt)
         left = wanted - len(planned)
-        if not left:
+        if not left or (job.blamed and planned):
             job.stuck_at.pop(name, None)
             self._unreserve(job, name)
             return
@@ -432,7 +441,7 @@
                 job.reserved[machine.name] -= 1
         making = sum(job.reserved.values())
         keep_reserved(promised, job)
-        if len(indexes) - len(planned) > making and self.making:
+        if len(indexes) - len(planned) > making and self.making and not job.blamed:
             making += self._make_room(
                 now, job, len(indexes) - len(planned) - making, machines, promised
             )
@@ -599,7 +608,10 @@
         if job.whole and count < wanted and not job.gang and now - job.seen_at > self.poll_s:
             # A service that must be decided in one place starts with what there is.
             count = wanted if count else 0
-        if self.making and count < wanted and now - job.seen_at > self.poll_s / 3:
+        if job.blamed:
+            # One task is enough to see; and nothing is stopped for it.
+            count = min(count, wanted if job.whole else 1)
+        elif self.making and count < wanted and now - job.seen_at > self.poll_s / 3:
             able = self._limited(job, owner.quota.claimable(shard.name, job.spec, wanted))
             if able > count:
                 count += self.could_make(job, able - count, machines, promised)
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -60,7 +60,14 @@
         self.trim_after = 0.0
         self.seen_at = 0.0
         self.stuck_at: dict[str, float] = {}
-        self.errors: dict[str, float] = {}
+        # Failing, see `Failures`: machines it has failed on, tries that have, whether it is the
+        # job that is to blame, and when a peer last said so.
+        self.errors: set[str] = set()
+        self.rounds = 0
+        self.failed_at = -1e9
+        self.blamed = False
+        self.blamed_elsewhere_at = -1e9
+        self.probes = 0
         self.hold_until = 0.0
         self.attempt = 0
         self.failing = False
@@ -170,8 +177,11 @@
         self.dear = 0
         self.reset(now)
         self.images: OrderedDict[str, float] = OrderedDict()
-        self.errors: dict[str, float] = {}
+        # Jobs that failed here since a task last completed, and how often.
+        self.errors: dict[str, int] = {}
         self.sick = False
+        # Sick, and to be returned from this moment on.
+        self.condemned_at: float | None = None
         self.committing = False
         # When a peer last heard of it, and our dealings with it as a machine of another's shard.
         self.elsewhere_at = -1e9
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -16,6 +16,7 @@
 from sagecove.config import Settings
 from sagecove.coordination.claims import Claims
 from sagecove.coordination.effects import Answered, Asked, Call, Command, Effect, Reply
+from sagecove.coordination.failures import Failures
 from sagecove.coordination.leadership import Leadership
 from sagecove.coordination.model import JobRun, Machine, Placement, Shard
 from sagecove.coordination.placement import (
@@ -107,6 +108,7 @@
         self.idle_at = 0.0
         self.quota = Quota(self)
         self.leadership = Leadership(self)
+        self.failures = Failures(self)
         self.workers = Workers(self)
         self.claims = Claims(self)
         self.users = Users(self)
@@ -575,7 +577,7 @@
         promised: Room = {}
         machines = self.shard_machines(shard)
         for job in self.jobs.values():
-            bits = job.placeable(shard)
+            bits = 0 if self.failures.suspect(job) else job.placeable(shard)
             if bits and job.reserved:
                 keep_reserved(promised, job)
             elif bits:
@@ -742,6 +744,9 @@
                 running[job.id] = count
             for shard in self.held:
                 lacking = job.placeable(shard)
+                if self.failures.suspect(job):
+                    # Nothing is rented for what fails everywhere.
+                    continue
                 if lacking and now - job.stuck_at.get(shard, now) > 0.4:
                     hungry[job.id] = (shard, lacking.bit_count())
                     self.hungry[job.id] = (shard, lacking.bit_count(), now)
@@ -754,6 +759,7 @@
             self.workers.strangers(now),
             self.provision.draining,
             self.cancelled_lately,
+            [job.id for job in self.jobs.values() if job.blamed],
         )
         self._drain(hint)
         self.cancelled_lately = []
@@ -795,6 +801,9 @@
             for job_id, (shard, count) in hint.hungry.items():
                 self.hungry[job_id] = (shard, count, self.now)
             self._drain(hint)
+            for job_id in hint.failing:
+                if (job := self.jobs.get(job_id)) is not None:
+                    job.blamed_elsewhere_at = self.now
             for name in hint.strangers:
                 if (machine := self.machines.get(name)) is not None:
                     machine.elsewhere_at = self.now
--- a/sagecove/coordination/placement.py
+++ b/sagecove/coordination/placement.py
@@ -132,6 +132,9 @@
     kind = machine.kind
     assert kind is not None
     waste = machine.dear if job.array else 1 if kind.gpus > 0 and spec.gpus == 0 else 0
+    if machine.name in job.errors:
+        # A second opinion tells a faulty machine from a faulty job.
+        waste += 99
     wrong_kind = 0 if machine.record.spot == spec.spot else 1
     return waste, 0 if spec.image in machine.images else 1, wrong_kind
 
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -352,7 +352,10 @@
         for job in owner.jobs.values():
             if job.array:
                 owner.rank(job)
-        jobs = sorted(owner.jobs.values(), key=precedence)
+        # Machines would not help jobs that fail everywhere.
+        jobs = sorted(
+            (j for j in owner.jobs.values() if not owner.failures.suspect(j)), key=precedence
+        )
         coming = Fleet(min((j.spec.cpus for j in jobs), default=0.0))
         for m in owner.machines.values():
             if m.kind is not None and not m.record.leaving and owner.arrival(m) == "coming":
@@ -476,7 +479,7 @@
                 have += machine.kind.cpus
                 usable.append(machine)
         for other in owner.jobs.values():
-            if not other.array:
+            if not other.array and not owner.failures.suspect(other):
                 claimed = (other.unfinished & ~other.unclaimed).bit_count()
                 have -= claimed * self._weight(other)
         have = max(0.0, have) * 0.9
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from sagecove.coordination.effects import Reply
-from sagecove.coordination.model import SENT, JobRun, Machine, Placement
+from sagecove.coordination.model import SENT, Machine, Placement
 from sagecove.protocol import workers as w
 from sagecove.protocol.users import Refusal
 from sagecove.storage.records import MachineRecord
@@ -263,7 +263,7 @@
         job.remove(placement)
         if hand.why == w.WHY_DONE:
             owner.learned(placement)
-            machine.errors.clear()
+            owner.failures.completed(machine, job)
             if job.gang:
                 # All tasks of a gang complete together.
                 job.fresh |= job.every & ~job.fin
@@ -279,7 +279,7 @@
                     hand.why,
                 )
             if hand.why == w.WHY_ERROR:
-                self._failed(machine, job)
+                owner.failures.failed(placement)
             elif hand.why in (w.WHY_FULL, w.WHY_BUSY, w.WHY_UNKNOWN):
                 job.hold_until = max(job.hold_until, owner.now + self.pace.report_s)
             if job.gang:
@@ -292,25 +292,6 @@
         while len(machine.images) > 1 and sum(machine.images.values()) > size:
             machine.images.popitem(last=False)
 
-    def _failed(self, machine: Machine, job: JobRun) -> None:
-        """Tell faulty machines from faulty jobs: by whether others fail too."""
-        owner = self.owner
-        job.errors[machine.name] = owner.now
-        job.hold_until = max(job.hold_until, owner.now + 0.5 * len(job.errors))
-        if len(job.errors) >= 3:
-            # It fails everywhere: the machines are not to blame.
-            for name in job.errors:
-                other = owner.machines.get(name)
-                if other is not None:
-                    other.errors.pop(job.id, None)
-                    other.sick = other.sick and len(other.errors) >= 2
-            job.hold_until = owner.now + min(60.0, 2.0 * len(job.errors))
-            return
-        machine.errors[job.id] = owner.now
-        if len(machine.errors) >= 2 and not machine.sick:
-            machine.sick = True
-            log.info("machine fails its tasks machine=%s", machine.name)
-
     # -- gone -----------------------------------------------------------------------------------
 
     def drop(self, machine: Machine, placement: Placement) -> None:
@@ -371,7 +352,8 @@
                     self.leave(machine, "silent")
         for machine in owner.machines.values():
             if (
-                machine.sick
+                machine.condemned_at is not None
+                and now >= machine.condemned_at
                 and not machine.record.leaving
                 and machine.record.shard in owner.held
                 and machine.empty
--- a/sagecove/protocol/peers.py
+++ b/sagecove/protocol/peers.py
@@ -21,6 +21,8 @@
     drain: list[str] = []
     # Jobs whose cancellation this controller has just made durable.
     cancelled: list[str] = []
+    # Jobs claimed here that fail wherever they run.
+    failing: list[str] = []
 
 
 class Promise(msgspec.Struct):
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,77 @@
+"""Stories of jobs that fail on every machine, of machines that fail every job, and of both."""
+
+from typing import Any
+
+import pytest
+
+from tests.world import World, job
+
+
+@pytest.fixture
+def world() -> World:
+    """Three controllers that are up, with six small machines."""
+    w = World()
+    for i in range(6):
+        w.cloud.start("small", "ab"[i % 2], False)
+    w.run(3)
+    return w
+
+
+def starts_of(w: World, job_id: str) -> int:
+    return sum(task.startswith(job_id + "/") for _, task, _ in w.starts)
+
+
+@pytest.mark.parametrize(
+    "fields", [{"hands": 1}, {"hands": 40}, {"shape": "ensemble", "hands": 3, "rank": "urgent"}]
+)
+def test_a_job_that_fails_everywhere_costs_little_until_it_is_cancelled(
+    world: World, fields: dict[str, Any]
+) -> None:
+    # All its tasks were tried again every few seconds, and machines rented for them.
+    world.broken.add("run-000001")
+    world.submit("n0", job(1, **fields))
+    world.run(30)
+    begun, rented = starts_of(world, "run-000001"), world.cloud.number
+    world.run(90)
+    tries = starts_of(world, "run-000001") - begun
+    assert 1 <= tries <= 5 * (3 if fields.get("shape") else 1) * 3
+    assert world.cloud.number == rented
+    assert not any(m.sick for o in world.owners.values() for m in o.machines.values())
+    # Only its user ends it.
+    assert world.user("n1", "GET", "/api/jobs/run-000001")[1]["standing"] in ("pending", "running")
+    # Others are served beside it as if it were not there.
+    world.submit("n1", job(2, hands=12))
+    world.until(lambda: sum(t.startswith("run-000002") for t in world.completed) == 12, 60)
+    assert world.user("n2", "POST", "/api/jobs/run-000001/cancel")[0] == 200
+
+
+def test_a_faulty_machine_is_found_while_jobs_fail_everywhere(world: World) -> None:
+    bad = next(iter(world.workers.values()))
+    bad.fails = True
+    for i in range(3):
+        world.broken.add(f"run-{i:06d}")
+        world.submit(f"n{i}", job(i, hands=5))
+    for i in range(3, 9):
+        world.submit(f"n{i % 3}", job(i, hands=4))
+    world.until(lambda: len(world.completed) == 24, 200)
+    world.until(lambda: bad.dead, 60)
+    # The machine that fails is returned, the healthy ones that the broken jobs tried are not.
+    sick = {k for _, k, v in world.state.changes if v and v.get("leaving") == "sick"}
+    assert sick == {f"s/machine/{bad.name}"}
+
+
+def test_a_single_faulty_machine_does_not_condemn_a_job(world: World) -> None:
+    bad = next(iter(world.workers.values()))
+    bad.fails = True
+    world.submit("n0", job(1, hands=30))
+    world.until(lambda: len(world.completed) == 30, 120)
+    world.until(lambda: bad.dead, 30)
+
+
+def test_a_job_that_is_mended_meanwhile_runs_at_its_next_try(world: World) -> None:
+    # Machines can be at fault for a while, and the job is not ended by anybody but its user.
+    world.broken.add("run-000001")
+    world.submit("n0", job(1, hands=10))
+    world.run(40)
+    world.broken.clear()
+    world.until(lambda: len(world.completed) == 10, 80)
--- a/tests/world.py
+++ b/tests/world.py
@@ -455,7 +455,7 @@
                     continue
                 self.world.started(self, task)
                 self.tasks[task] = {"try": attempt, "standing": "running", "cause": ""}
-                if self.fails:
+                if self.fails or task.split("/")[0] in self.world.broken:
                     self.world.later(0.1, lambda t=task, a=attempt: self.exit(t, a, "error"))
                 elif not self.world.is_service(task):
                     self.world.later(self.run_s, lambda t=task, a=attempt: self.exit(t, a, "done"))
@@ -490,6 +490,8 @@
         self.specs: dict[str, dict[str, Any]] = {}
         self.cancelled: dict[str, float] = {}
         self.completed: set[str] = set()
+        # Jobs that were submitted with a mistake: they fail wherever they run.
+        self.broken: set[str] = set()
         self.starts: list[tuple[float, str, str]] = []
         # Controllers that workers cannot reach, nor they the workers.
         self.deaf: set[str] = set()
