--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -288,6 +288,7 @@
                 elif status != 404:
                     self.later(exchange, "the state service does not answer")
                 elif kind.startswith("refuse:"):
+                    log.info("refused job=%s why=%s", job_id, kind[7:])
                     self._reply(exchange, 422, u.Refusal(kind[7:]))
                 elif kind == "submit":
                     self.later(exchange, "try again")
