--- a/sagecove/config.py
+++ b/sagecove/config.py
@@ -34,8 +34,13 @@
     state: Address
 
 
+# Stands for "no limit": more than any fleet has, and still a number that records can carry.
+UNLIMITED = 1e9
+
+
 class Team(msgspec.Struct):
-    """A team's guarantee and limit."""
+    """A team's guarantee and limit. In the settings a limit of 0 means that there is none: taken
+    for a limit of nothing, it once had every job of a guest team refused as impossible."""
 
     name: Annotated[str, msgspec.Meta(min_length=1, max_length=150, pattern=r"^[^\s/]+$")]
     cpus: Amount
@@ -43,6 +48,10 @@
     gpus: Amount = 0.0
     gpus_max: Amount = 0.0
 
+    def __post_init__(self) -> None:
+        self.cpus_max = self.cpus_max or UNLIMITED
+        self.gpus_max = self.gpus_max or UNLIMITED
+
 
 class Objective(msgspec.Struct, rename={"klass": "class"}):
     """An aim, as the users state it."""
