Silent and stopped controllers; machines that are up at once are used at their first report

Cause: workers that had lost a silent holder were sent back to it until its lease lapsed, timing out a second time; after a gap in its own time a controller judged silence by what it had not been there to hear, and threw away answers that lay in its sockets. Machines adopted before their rental's answer made its record conflict, and the rental was asked for again.

--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -183,6 +183,8 @@
         # Sick, and to be returned from this moment on.
         self.condemned_at: float | None = None
         self.committing = False
+        # When it may be marked for its return once more.
+        self.leave_at = -1e9
         # When a peer last heard of it, and our dealings with it as a machine of another's shard.
         self.elsewhere_at = -1e9
         self.redirected_at = -1e9
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -51,6 +51,8 @@
 PASS_MOST_S = 0.5
 PASS_JOBS = 30
 TICK_S = 0.25
+# The owner is called at every tick; a longer time without a call is a gap in its own time.
+GAP_S = 8 * TICK_S
 
 
 class Owner:
@@ -61,6 +63,8 @@
         self.random = random
         self.now = now
         self.started_at = now
+        # Since when this process has been running without a stop.
+        self.present_since = now
         self._wall_offset = wall - now
         self.effects: list[Effect] = []
         self.pending: dict[int, Done] = {}
@@ -118,6 +122,14 @@
 
     def handle(self, commands: list[Command], now: float, wall: float) -> list[Effect]:
         """Take in a batch of commands; what is to be done about them."""
+        if now - self.now > GAP_S:
+            # It stood still while its clocks ran on, or was starved. Authority is judged by the
+            # time after the gap anyway; what peers and workers said, or did not, is not current.
+            log.info("stood still seconds=%.1f", now - self.now)
+            self.present_since = now
+            self.hints.clear()
+            self.hungry.clear()
+            self.leadership.promises.clear()
         self.now = now
         self._wall_offset = wall - now
         for command in commands:
@@ -229,6 +241,9 @@
             return False
         if self.now - self.synced_at < 3.0:
             return True
+        if self.synced_at < self.present_since and not self.hints:
+            # It stood still, and has heard of nobody since.
+            return False
         # In an outage of the state service everybody is refused: being taken out of balance would
         # only delay the return. Refused alone, this node lets the others answer.
         return not any(self.now - at < 3.0 and hint.connected for at, hint in self.hints.values())
@@ -613,7 +628,6 @@
                     # A machine that is deleted costs 60 s at least: it may as well wait as long.
                     drained = now < machine.drain_until and now - machine.idle_since > 2.0
                     if (drained or now - machine.idle_since > patience) and age > 55.0:
-                        log.info("idle machine returned machine=%s", machine.name)
                         self.workers.leave(machine, "idle")
 
     def _patience(self, kind: MachineType) -> float:
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -145,6 +145,8 @@
         self.listing: list[c.Listed] = []
         self.unlisted: dict[str, float] = {}
         self.term = 0
+        # Rentals that were refused, and when the removal of their record may be tried again.
+        self.refused: dict[str, float] = {}
         # Machines whose holders are asked to let them run empty.
         self.draining: list[str] = []
 
@@ -157,6 +159,7 @@
             return
         if term != self.term:
             self.term = term
+            self.refused.clear()
             self.count = 0
             self.listed_at = -1e9
             self.think_at = now + 0.5
@@ -287,6 +290,16 @@
 
         self._call("delete", "POST", "/machines/delete", c.Names(names), done)
 
+    def rented_for(self, kind: str, zone: str, spot: bool) -> str | None:
+        """The shard that machines of a rental without a recorded answer are meant for."""
+        for key, item in self.owner.rentals.items():
+            record: RentalRecord = item.value
+            if (record.type, record.zone, record.spot) == (kind, zone, spot):
+                shard = key.rpartition(".")[2]
+                if shard in self.owner.settings.nodes:
+                    return shard
+        return None
+
     # -- renting --------------------------------------------------------------------------------
 
     def _shard_sizes(self) -> dict[str, int]:
@@ -583,6 +596,12 @@
             call = "rent:" + name
             if call in self.busy:
                 continue
+            if (again := self.refused.get(key)) is not None:
+                # Refused: the protocol has one repetition, not one at every tick. What is left to
+                # do is to remove the record, which the state service may have refused in turn.
+                if now >= again:
+                    self._refused(key, item.stamp)
+                continue
             body = c.Rent(name, record.type, record.zone, record.spot, record.count)
             if not self._call(
                 call, "POST", "/machines", body, self._rented(name, record, item.stamp)
@@ -619,12 +638,22 @@
                 if b"no capacity" in body or status == 400:
                     self.full_until[place] = owner.now + 20.0
                     log.info("no capacity type=%s zone=%s spot=%s", *place)
-                    self._commit([wire.Drop(key)], [(key, stamp)], lambda _: None)
+                    self._refused(key, stamp)
                 else:
                     self.budget.spend(owner.now)
 
         return done
 
+    def _refused(self, key: str, stamp: int) -> None:
+        """A rental was refused: its record goes."""
+        self.refused[key] = self.owner.now + 2.0
+
+        def done(result: Result) -> None:
+            if result.outcome is Outcome.DONE:
+                self.refused.pop(key, None)
+
+        self._commit([wire.Drop(key)], [(key, stamp)], done)
+
     def _record_rented(
         self, key: str, stamp: int, record: RentalRecord, parts: list[list[tuple[str, str]]]
     ) -> None:
@@ -647,6 +676,11 @@
             self.busy.discard("rent:" + name)
             if result.outcome is Outcome.DONE and rest:
                 self._record_rented(key, stamp, record, rest)
+            elif result.outcome is Outcome.CONFLICT and key not in result.failed:
+                # Some were up at once and have been taken in by those they reported to.
+                left = [(m, s) for m, s in part if MACHINE + m not in result.failed]
+                if len(left) < len(part):
+                    self._record_rented(key, stamp, record, [left, *rest])
 
         self._commit(changes, conditions, done)
 
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -29,6 +29,9 @@
 
 Answer = Callable[[int | None, bytes], None]
 
+# Peers' hints come once a second; one that is older says that its sender is silent.
+HINT_FRESH_S = 2.5
+
 
 def split_task(task: str) -> tuple[str, int]:
     """Job id and number of a task's name; number -1 if it is none."""
@@ -68,8 +71,8 @@
         now = owner.now
         machine = owner.machines.get(report.machine)
         if machine is None:
-            self._adopt(report)
-            owner.effects.append(Reply(exchange, 503, Refusal("machine unknown as yet")))
+            if not self._adopt(report, body, exchange):
+                owner.effects.append(Reply(exchange, 503, Refusal("machine unknown as yet")))
             return
         shard = owner.held.get(machine.record.shard)
         if shard is None or shard.yielding or not owner.leadership.acting(now):
@@ -99,8 +102,20 @@
         now = owner.now
         addr = next((p.addr for p in owner.settings.peers if p.node == holder), None)
         hint = owner.hints.get(holder)
-        reachable = hint is not None and now - hint[0] < 2.5
+        reachable = hint is not None and now - hint[0] < HINT_FRESH_S
         back = 0.7 < now - machine.redirected_at < self.pace.lease_s
+        if not reachable and (back or (hint is not None and machine.name in hint[1].heard)):
+            # The holder is silent and the worker has come from there: until the shard is taken,
+            # going back would cost it a timeout, and with a second one its lease and its tasks.
+            live = [n for n, (at, _) in owner.hints.items() if now - at < HINT_FRESH_S]
+            machine.relaying = False
+            machine.stranger_at = now
+            if live:
+                other = w.Redirect(owner.random.choice(sorted(live)))
+                owner.effects.append(Reply(exchange, 421, other))
+            else:
+                owner.effects.append(Reply(exchange, 503, Refusal("the holder is silent")))
+            return
         if machine.relaying and now - machine.stranger_at < self.pace.lease_s:
             back = True
         machine.stranger_at = now
@@ -132,8 +147,11 @@
     def _newer(self, machine: Machine, session: int, seq: int) -> bool:
         return session > machine.over_session and (session, seq) > (machine.session, machine.seq)
 
-    def _adopt(self, report: w.Report) -> None:
-        """A machine that reports and has no record: take it into a shard."""
+    def _adopt(self, report: w.Report, body: bytes, exchange: object) -> bool:
+        """A machine that reports and has no record: up before its rental's answer came or was
+        written down, or rented by a call whose answer was lost. It goes to the shard it was rented
+        for, as far as that can be told, and this report is answered once its record is durable.
+        False if it is not taken in."""
         owner = self.owner
         name = report.machine
         node = owner.settings.node
@@ -145,12 +163,22 @@
             or not owner.leadership.acting(owner.now)
             or name in self.gone
         ):
-            return
+            return False
         self.adopting.add(name)
+        home = owner.provision.rented_for(report.type, report.zone, report.spot) or node
         record = MachineRecord(
-            report.type, report.zone, report.spot, node, report.addr, owner.wall()
+            report.type, report.zone, report.spot, home, report.addr, owner.wall()
         )
-        owner.put_machine(name, record, 0, shard, lambda _: self.adopting.discard(name))
+
+        def done(result: Result) -> None:
+            self.adopting.discard(name)
+            if name in owner.machines:
+                self.report(body, exchange)
+            else:
+                owner.effects.append(Reply(exchange, 503, Refusal("machine unknown as yet")))
+
+        owner.put_machine(name, record, 0, shard, done)
+        return True
 
     def read(self, machine: Machine, report: w.Report, token: int, hello: bool) -> None:
         """Take in a report's task list. The report is newer than all seen of this machine."""
@@ -324,6 +352,8 @@
                 del self.gone[name]
         for shard in list(owner.held.values()):
             machines = owner.shard_machines(shard.name)
+            # Reports that this process was not there to hear are no silence.
+            heard_since = max(shard.since, owner.present_since)
             quiet = [m for m in machines if now - m.heard_at > self.silent and m.ever_heard]
             for machine in machines:
                 last = max(machine.answered_at, shard.since)
@@ -344,11 +374,10 @@
                 continue
             for machine in quiet:
                 if (
-                    now - max(machine.heard_at, shard.since) > self.silent
+                    now - max(machine.heard_at, heard_since) > self.silent
                     and not machine.record.leaving
                     and now - machine.elsewhere_at > self.silent
                 ):
-                    log.info("silent machine to be deleted machine=%s", machine.name)
                     self.leave(machine, "silent")
         for machine in owner.machines.values():
             if (
@@ -364,11 +393,14 @@
         """Hand a machine to the provisioner for deletion. Nothing is placed on it any more."""
         owner = self.owner
         shard = owner.held.get(machine.record.shard)
-        if shard is None or shard.yielding or machine.committing:
+        if shard is None or shard.yielding or machine.committing or owner.now < machine.leave_at:
             return
         old = machine.record
         record = msgspec.structs.replace(old, leaving=reason)
         machine.committing = True
+        # While the state service refuses, once a report's time is enough.
+        machine.leave_at = owner.now + self.pace.report_s
+        log.info("machine to be returned machine=%s why=%s", machine.name, reason)
 
         def done(result: Result) -> None:
             machine.committing = False
--- a/sagecove/transport/client.py
+++ b/sagecove/transport/client.py
@@ -12,14 +12,19 @@
 
 Done = Callable[[int | None, bytes], None]
 
+# A timer that fires so much late says that this process was not running.
+LATE_S = 0.5
+
 
 class _Call:
-    __slots__ = ("data", "done", "retried", "started", "timer")
+    __slots__ = ("data", "done", "due", "retried", "spared", "started", "timer")
 
     def __init__(self, data: bytes, done: Done) -> None:
         self.data = data
         self.done: Done | None = done
         self.timer: Any = None
+        self.due = 0.0
+        self.spared = False
         self.started = False
         self.retried = False
 
@@ -151,6 +156,7 @@
         if len(self.queue) >= self.queue_most:
             self.reactor.callLater(0, call.finish, None, b"")
             return
+        call.due = self.used + timeout
         call.timer = self.reactor.callLater(timeout, self._expired, call)
         self.queue.append(call)
         self._pump()
@@ -172,6 +178,12 @@
             self.reactor.connectTCP(self.host, self.port, _Factory(self), timeout=self.connect_s)
 
     def _expired(self, call: _Call) -> None:
+        if not call.spared and self.reactor.seconds() - call.due > LATE_S:
+            # This process stood still: timers run before sockets are read, and the answer may
+            # well be there. Were it thrown away, all that was asked would be in doubt.
+            call.spared = True
+            call.timer = self.reactor.callLater(LATE_S / 4, self._expired, call)
+            return
         for wire in self.busy:
             if wire.call is call:
                 wire.call = None
