--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -73,6 +73,9 @@
         self.owner = owner
         # DESIGN's pollInterval is 1.5 s with a lease of 20 s: kept as a ratio to the report pace.
         self.poll_s = min(1.5, owner.settings.params.workers.report_s / 2)
+        # DESIGN's fetchAhead, 4 s beside a poll of 1.5 s: short tasks are claimed before there is
+        # room for them, or an array of thousands would need a write for each handful.
+        self.ahead_s = self.poll_s * 8 / 3
         self.record_s = owner.settings.params.workers.lease_s / 4
         self.open_claims = 0
         # Jobs that the last pass had to look at.
@@ -428,7 +431,7 @@
             for index, machine in planned:
                 self._start(now, job, index, machine, attempt)
         left = wanted - len(planned)
-        if not left or (job.blamed and planned):
+        if not left or (job.blamed and planned) or left <= self.ahead(job):
             job.stuck_at.pop(name, None)
             self._unreserve(job, name)
             return
@@ -569,6 +572,18 @@
         put = wire.Put(JOB + job.id, job.with_sets(job.fin, claims))
         owner.commit(conditions, [put], done)
 
+    def ahead(self, job: JobRun) -> int:
+        """How many tasks of an array will find room soon, as those that run here come to an end.
+        Estimates may be far too low: what has run for longer than that does not count."""
+        if not job.array or job.blamed or not job.placed:
+            return 0
+        run = job.spec.estimate_s * self.owner.class_run.get(job.spec.klass, 1.0)
+        share = min(1.0, self.ahead_s / max(run, self.poll_s))
+        if len(job.placed) * share < 1:
+            return 0
+        begun = self.owner.now - 2 * run - self.ahead_s
+        return int(share * sum(p.started_at >= begun for p in job.placed.values()))
+
     # -- competing ------------------------------------------------------------------------------
 
     def fitting(self, job: JobRun, shard: str, machines: list[Machine], promised: Room) -> int:
@@ -605,6 +620,13 @@
         count = 0
         if not self.futile.known(job):
             count = self.fitting(job, shard.name, machines, promised)
+        # Of a small array the others should find something, too.
+        ahead = min(self.ahead(job), wanted // len(owner.settings.nodes))
+        ahead -= job.placeable(shard.name).bit_count()
+        if ahead > 0 and not job.whole:
+            count = self._limited(
+                job, owner.quota.claimable(shard.name, job.spec, min(wanted, count + ahead))
+            )
         if job.whole and count < wanted and not job.gang and now - job.seen_at > self.poll_s:
             # A service that must be decided in one place starts with what there is.
             count = wanted if count else 0
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -458,6 +458,8 @@
             job = self.jobs[job_id] = JobRun(event.value, event.stamp)
             self.jobs_changed = True
             job.seen_at = self.now
+            # Or all controllers would reach for it in the same moment, and all but one in vain.
+            job.claim_after = self.now + self.random.uniform(0.0, self.claims.poll_s / 6)
             self._note_arrival(job)
         else:
             job.update(event.value, event.stamp)
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -148,8 +148,10 @@
         run = JobRun(record, 0)
         if run.service:
             owner.settle(run)
-        # Many at once: that each of them is durable soon comes first.
-        claimed = None if owner.store.short(owner.now) else self._claim_now(run)
+        claimed = self._claim_now(run)
+        if claimed is not None and len(claimed[0]) > 1 and owner.store.short(owner.now):
+            # Many at once: that each of them is durable soon comes before a larger allotment.
+            claimed = None
         if claimed is not None:
             changes, more = claimed
             conditions += more
