--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -104,7 +104,9 @@
         hint = owner.hints.get(holder)
         reachable = hint is not None and now - hint[0] < HINT_FRESH_S
         back = 0.7 < now - machine.redirected_at < self.pace.lease_s
-        if not reachable and (back or (hint is not None and machine.name in hint[1].heard)):
+        # One whose lease outlives its silence is alive, and merely cut off from its peers.
+        silent = hint is not None and HINT_FRESH_S <= now - hint[0] < owner.leadership.length + 1.0
+        if silent and hint is not None and (back or machine.name in hint[1].heard):
             # The holder is silent and the worker has come from there: until the shard is taken,
             # going back would cost it a timeout, and with a second one its lease and its tasks.
             live = [n for n, (at, _) in owner.hints.items() if now - at < HINT_FRESH_S]
