Workers wait with live peers until a lapsed shard is taken; explain, cluster, submit, status, cancel

The commands rest on two read-only endpoints answered from memory; stories of controllers that stand still before deciding and before sending, of machines up at once, refused rentals and guests.

--- a/sagecove/cli.py
+++ b/sagecove/cli.py
@@ -1,12 +1,21 @@
 """The command line."""
 
 import argparse
+import json
 import logging
 import os
 import sys
+from typing import Any
 
 from sagecove import __version__
 
+# Where controllers are asked: addresses with commas between, tried in this order.
+CONTROLLERS = "SAGECOVE_CONTROLLERS"
+
+
+class Failed(Exception):
+    """A command was refused or nobody answered: one line for the user, and status 1."""
+
 
 def _logging() -> None:
     level = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}.get(
@@ -25,12 +34,142 @@
     serve.add_argument("--config", required=True, metavar="FILE", help="the settings file")
     check = commands.add_parser("check-config", help="check a settings file")
     check.add_argument("config", metavar="FILE", help="the settings file")
+
+    asking = argparse.ArgumentParser(add_help=False)
+    asking.add_argument(
+        "--controllers",
+        metavar="HOST:PORT,...",
+        default=os.environ.get(CONTROLLERS, "127.0.0.1:8080"),
+        help=f"whom to ask, in this order (default: ${CONTROLLERS}, else 127.0.0.1:8080)",
+    )
+    asking.add_argument("--json", action="store_true", help="print the answer as JSON")
+    submit = commands.add_parser("submit", parents=[asking], help="submit a job")
+    submit.add_argument("file", metavar="FILE", help="the job as JSON; - for standard input")
+    for name, text in (
+        ("status", "how far a job is"),
+        ("cancel", "cancel a job"),
+        ("explain", "why a job waits"),
+    ):
+        command = commands.add_parser(name, parents=[asking], help=text)
+        command.add_argument("job", metavar="JOB", help="the job's id")
+    commands.add_parser(
+        "cluster", parents=[asking], help="members, shards, teams and machines in trouble"
+    )
     return parser
 
 
+def _ask(controllers: str, method: str, path: str, body: bytes | None = None) -> Any:
+    """Ask the controllers in turn until one gives an answer that is not "not now"."""
+    import http.client
+
+    last = "no address"
+    for address in controllers.split(","):
+        try:
+            connection = http.client.HTTPConnection(address.strip(), timeout=5)
+            headers = {"Content-Type": "application/json"} if body is not None else {}
+            connection.request(method, path, body, headers)
+            answer = connection.getresponse()
+            content = json.loads(answer.read() or b"null")
+            connection.close()
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            last = f"{address.strip()}: {error}"
+            continue
+        if answer.status in (200, 201):
+            return content
+        why = content.get("error", "") if isinstance(content, dict) else ""
+        last = f"{address.strip()} answers {answer.status}: {why}"
+        if answer.status not in (429, 503):
+            raise Failed(last)
+    raise Failed(f"no controller can answer ({last})")
+
+
+def _read_job(path: str) -> bytes:
+    if path == "-":
+        text, name = sys.stdin.read(), "standard input"
+    else:
+        with open(path, encoding="utf-8") as file:
+            text, name = file.read(), path
+    try:
+        json.loads(text)
+    except json.JSONDecodeError as error:
+        raise ValueError(f"{name}:{error.lineno}:{error.colno}: {error.msg}") from None
+    return text.encode()
+
+
+def _command(args: argparse.Namespace) -> Any:
+    if args.command == "submit":
+        return _ask(args.controllers, "POST", "/api/jobs", _read_job(args.file))
+    if args.command == "cluster":
+        return _ask(args.controllers, "GET", "/cluster")
+    from urllib.parse import quote
+
+    job = quote(args.job, safe="")
+    if args.command == "status":
+        return _ask(args.controllers, "GET", f"/api/jobs/{job}")
+    if args.command == "cancel":
+        return _ask(args.controllers, "POST", f"/api/jobs/{job}/cancel", b"")
+    return _ask(args.controllers, "GET", f"/explain/{job}")
+
+
+def _show(command: str, answer: dict[str, Any]) -> str:
+    if command == "explain":
+        lines = [
+            f"{answer['job']}: {answer['kind']} of team {answer['team']}, {answer['priority']},"
+            f" {answer['done']} of {answer['tasks']} tasks done, {answer['running']} running",
+            "within its team's guarantee" if answer["within_guarantee"] else "beyond the guarantee",
+            *answer["reasons"],
+        ]
+        return "\n  ".join(lines) + f"\n(told by {answer['told_by']})"
+    if command == "cluster":
+        return _show_cluster(answer)
+    line = f"{answer['nameId']}: {answer['standing']}"
+    if "done" in answer:
+        line += f", {answer['done']} tasks done, {answer.get('running') or 0} running"
+    return line
+
+
+def _show_cluster(answer: dict[str, Any]) -> str:
+    lines = [
+        f"up: {', '.join(answer['up']) or '-'}; {answer['machines']} machines;"
+        f" provisioner {answer['provisioner'] or '-'}"
+    ]
+    for shard in answer["shards"]:
+        since = f", for {shard['held_s']:.0f} s" if shard["held_s"] is not None else ""
+        lines.append(
+            f"shard {shard['name']}: held by {shard['holder'] or 'nobody'}"
+            f" (term {shard['term']}{since}), {shard['machines']} machines"
+        )
+    for team in answer["teams"]:
+        most = "no limit" if team["most_cpus"] is None else f"at most {team['most_cpus']:g}"
+        text = (
+            f"team {team['name']}: {team['cpus']:g} CPUs of {team['guaranteed_cpus']:g}"
+            f" guaranteed, {most}, {team['borrowed_cpus']:g} borrowed"
+        )
+        if team["gpus"] or team["guaranteed_gpus"]:
+            text += f"; {team['gpus']:g} GPUs of {team['guaranteed_gpus']:g}"
+        lines.append(f"{text}; {team['waiting_tasks']} tasks wait")
+    lines += [
+        f"machine {m['name']} ({m['type']}, {m['zone']}, shard {m['shard']}): {m['state']}"
+        for m in answer["troubled"]
+    ]
+    lines += [f"job {job} fails on every machine" for job in answer["failing"]]
+    return "\n".join([*lines, f"(told by {answer['told_by']})"])
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run a command; its exit status: 0 success, 1 refused or failed, 2 usage or settings."""
     args = _parser().parse_args(argv)
+    if args.command not in ("serve", "check-config"):
+        try:
+            answer = _command(args)
+            print(json.dumps(answer) if args.json else _show(args.command, answer))
+        except Failed as error:
+            print(f"sagecove: {error}", file=sys.stderr)
+            return 1
+        except (OSError, ValueError) as error:
+            print(f"sagecove: {error}", file=sys.stderr)
+            return 2
+        return 0
     from sagecove.config import SettingsError, load
 
     try:
--- /dev/null
+++ b/sagecove/coordination/explain.py
@@ -0,0 +1,199 @@
+"""Answers to "why does my job wait?" and "who is hogging the racks?", read off the owner's state.
+
+Nothing here changes anything, and all of it comes from memory: one pass over jobs or machines for
+a question, so that asking is no load. It is what this controller knows; it says so.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sagecove.config import UNLIMITED
+from sagecove.coordination.claims import precedence
+from sagecove.coordination.model import JobRun
+from sagecove.coordination.placement import type_allowed
+from sagecove.protocol import workers as w
+from sagecove.protocol.views import Cluster, Explanation, MachineView, ShardView, TeamView
+from sagecove.storage.records import HOLDER, MEMBER, PROVISIONER
+
+if TYPE_CHECKING:
+    from sagecove.coordination.owner import Owner
+
+
+def explain(owner: Owner, job: JobRun) -> Explanation:
+    """Why a job waits."""
+    running = sum(p.state == w.TASK_RUNNING for p in job.placed.values())
+    return Explanation(
+        job.id,
+        job.spec.team,
+        job.spec.kind,
+        job.spec.priority,
+        job.spec.tasks,
+        (job.fin | job.fresh).bit_count(),
+        running + owner.running_elsewhere(job.id),
+        job.within,
+        owner.failures.suspect(job),
+        {shard: n for shard in job.claims if (n := job.claimed(shard).bit_count())},
+        _reasons(owner, job),
+        owner.settings.node,
+    )
+
+
+def _reasons(owner: Owner, job: JobRun) -> list[str]:
+    out: list[str] = []
+    if owner.failures.suspect(job):
+        pause = max(0.0, job.hold_until - owner.now)
+        out.append(
+            f"its tasks fail on every machine (seen on {len(job.errors)});"
+            f" next try in {pause:.0f} s"
+        )
+    for shard in job.claims:
+        claimed = job.claimed(shard).bit_count()
+        if not claimed:
+            continue
+        if shard not in owner.held:
+            holder = owner.holder_of(shard)
+            if holder is None:
+                out.append(f"{claimed} tasks: shard {shard} has no holder at the moment")
+            else:
+                out.append(f"{claimed} tasks are with {holder}, which can tell more")
+            continue
+        if limbo := job.limbo.get(shard, 0):
+            out.append(
+                f"{limbo.bit_count()} tasks wait until machines of shard {shard} have reported to"
+                " their new holder"
+            )
+        if lacking := job.placeable(shard).bit_count():
+            making = sum(job.reserved.values())
+            more = f"; others are being stopped for {making} of them" if making else ""
+            out.append(f"{lacking} tasks wait for room on machines of shard {shard}{more}")
+    states = [p.state for p in job.placed.values()]
+    if count := states.count(w.PULLING):
+        out.append(f"{count} tasks wait for their image")
+    if count := states.count(w.WAITING):
+        out.append(f"{count} tasks wait until the whole gang has its images")
+    stopped = {p.for_whom for p in job.placed.values() if p.halt is not None}
+    out += [f"tasks are being stopped for {whom}" for whom in sorted(stopped)]
+    if job.unclaimed:
+        out += _unclaimed(owner, job)
+    return out
+
+
+def _unclaimed(owner: Owner, job: JobRun) -> list[str]:
+    spec = job.spec
+    out = []
+    count = job.unclaimed.bit_count()
+    need = count if job.whole else 1
+    team = owner.quota.teams.get(spec.team)
+    spare = owner.quota.spare(spec.team) if team is not None else (0.0, 0.0)
+    if need * spec.cpus > spare[0] or need * spec.gpus > spare[1]:
+        out.append(f"{count} tasks wait for team {spec.team}'s limit")
+    fitting = {t.name for t in owner.types.values() if type_allowed(spec, t)}
+    coming = sum(
+        m.record.type in fitting and not m.record.leaving and owner.arrival(m) == "coming"
+        for m in owner.machines.values()
+    )
+    mine = precedence(job)
+    ahead = [
+        j
+        for j in owner.jobs.values()
+        if j is not job
+        and j.unclaimed
+        and not owner.failures.suspect(j)
+        and precedence(j) < mine
+        and any(type_allowed(j.spec, t) for t in owner.types.values() if t.name in fitting)
+    ]
+    text = f"{count} tasks wait for room on machines of type {', '.join(sorted(fitting)) or '-'}"
+    if coming:
+        text += f"; {coming} of these are booting"
+    out.append(text)
+    if ahead:
+        first = min(ahead, key=precedence)
+        out.append(f"{len(ahead)} jobs come first, such as {first.id}: {_rule(first, job)}")
+    return out
+
+
+def _rule(first: JobRun, job: JobRun) -> str:
+    """By which rule one job comes before another."""
+    if (first.priority == 3) != (job.priority == 3):
+        return "it is a production job"
+    if first.within != job.within:
+        return "it is within its team's guarantee"
+    if first.priority != job.priority:
+        return f"its priority is {first.spec.priority}"
+    if first.order != job.order:
+        return "it can still be in time with less work left"
+    return "it is older"
+
+
+def cluster(owner: Owner) -> Cluster:
+    """Members, shards and their holders, teams against guarantee and limit, machines in trouble."""
+    settings = owner.settings
+    now = owner.now
+    items = owner.mirror.items
+    role = items.get(PROVISIONER)
+    shards = []
+    for name in sorted(settings.nodes):
+        held = owner.held.get(name)
+        shards.append(
+            ShardView(
+                name,
+                owner.holder_of(name),
+                owner.mirror.stamp(HOLDER + name),
+                len(owner.by_shard.get(name, {})),
+                round(now - held.since, 1) if held is not None else None,
+            )
+        )
+    troubled = []
+    for machine in owner.machines.values():
+        state = ""
+        if machine.record.leaving:
+            state = f"leaving: {machine.record.leaving}"
+        elif machine.sick:
+            state = "faulty"
+        elif owner.arrival(machine) == "overdue":
+            state = "late"
+        if state:
+            record = machine.record
+            troubled.append(
+                MachineView(machine.name, record.type, record.zone, record.shard, state)
+            )
+    return Cluster(
+        settings.node,
+        owner.connected(),
+        sorted(n for n in settings.nodes if MEMBER + n in items),
+        role.value.node if role is not None and role.value is not None else None,
+        len(owner.machines),
+        shards,
+        _teams(owner),
+        sorted(troubled, key=lambda m: m.name)[:200],
+        sorted(j.id for j in owner.jobs.values() if owner.failures.suspect(j))[:200],
+    )
+
+
+def _teams(owner: Owner) -> list[TeamView]:
+    used: dict[str, list[float]] = {}
+    for job in owner.jobs.values():
+        have = used.setdefault(job.spec.team, [0.0, 0.0, 0])
+        claimed = (job.unfinished & ~job.unclaimed).bit_count()
+        have[0] += claimed * job.spec.cpus
+        have[1] += claimed * job.spec.gpus
+        have[2] += job.unclaimed.bit_count()
+    out = []
+    for team in owner.settings.params.teams:
+        cpus, gpus, waiting = used.get(team.name, (0.0, 0.0, 0))
+        out.append(
+            TeamView(
+                team.name,
+                round(cpus, 3),
+                round(gpus, 3),
+                team.cpus,
+                team.gpus,
+                team.cpus_max if team.cpus_max < UNLIMITED else None,
+                team.gpus_max if team.gpus_max < UNLIMITED else None,
+                round(max(0.0, cpus - team.cpus), 3),
+                round(max(0.0, gpus - team.gpus), 3),
+                int(waiting),
+            )
+        )
+    return out
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -224,9 +224,31 @@
                 self.users.cancel(job_id, ask.exchange)
             else:
                 self.users.status(job_id, ask.exchange)
+        elif path == "/cluster" or path.startswith("/explain/"):
+            self._view(path, ask)
         else:
             self.effects.append(Reply(ask.exchange, 404, Refusal("no such path")))
 
+    def _view(self, path: str, ask: Asked) -> None:
+        """Read-only questions beside PROTOCOL, answered from memory."""
+        # Hardly ever asked, so not loaded before.
+        from sagecove.coordination import explain
+
+        if ask.method != "GET":
+            self.effects.append(Reply(ask.exchange, 405, Refusal("GET only")))
+        elif not self.mirror.loaded:
+            self.effects.append(Reply(ask.exchange, 503, Refusal("not ready"), 1.0))
+        elif path == "/cluster":
+            self.effects.append(Reply(ask.exchange, 200, explain.cluster(self)))
+        elif (job := self.jobs.get(path[len("/explain/") :])) is not None:
+            self.effects.append(Reply(ask.exchange, 200, explain.explain(self, job)))
+        else:
+            self.effects.append(
+                Reply(
+                    ask.exchange, 404, Refusal("no job under way has this id; ask for its status")
+                )
+            )
+
     def _ready(self, ask: Asked) -> None:
         if ask.method not in ("GET", "HEAD"):
             self.effects.append(Reply(ask.exchange, 405, Refusal("GET only")))
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -77,7 +77,10 @@
         shard = owner.held.get(machine.record.shard)
         if shard is None or shard.yielding or not owner.leadership.acting(now):
             holder = owner.holder_of(machine.record.shard)
-            if holder is not None and holder != owner.settings.node and not relayed:
+            if holder is None and not relayed:
+                # Its lease has lapsed, and somebody is about to take the shard.
+                self._park(machine, exchange)
+            elif holder != owner.settings.node and holder is not None and not relayed:
                 self._elsewhere(machine, holder, body, exchange)
             else:
                 owner.effects.append(Reply(exchange, 503, Refusal("no authority at the moment")))
@@ -109,14 +112,7 @@
         if silent and hint is not None and (back or machine.name in hint[1].heard):
             # The holder is silent and the worker has come from there: until the shard is taken,
             # going back would cost it a timeout, and with a second one its lease and its tasks.
-            live = [n for n, (at, _) in owner.hints.items() if now - at < HINT_FRESH_S]
-            machine.relaying = False
-            machine.stranger_at = now
-            if live:
-                other = w.Redirect(owner.random.choice(sorted(live)))
-                owner.effects.append(Reply(exchange, 421, other))
-            else:
-                owner.effects.append(Reply(exchange, 503, Refusal("the holder is silent")))
+            self._park(machine, exchange)
             return
         if machine.relaying and now - machine.stranger_at < self.pace.lease_s:
             back = True
@@ -138,6 +134,19 @@
         # Raw: the report goes on as it came.
         owner.call(addr, "POST", "/relay", msgspec.Raw(body), self.call_s / 2, done)
 
+    def _park(self, machine: Machine, exchange: object) -> None:
+        """Nobody can answer a worker at the moment: send it to a controller that is alive, so that
+        it is not at a silent one when its shard is taken."""
+        owner = self.owner
+        now = owner.now
+        machine.relaying = False
+        machine.stranger_at = now
+        live = sorted(n for n, (at, _) in owner.hints.items() if now - at < HINT_FRESH_S)
+        if live:
+            owner.effects.append(Reply(exchange, 421, w.Redirect(owner.random.choice(live))))
+        else:
+            owner.effects.append(Reply(exchange, 503, Refusal("the holder is silent")))
+
     def strangers(self, now: float) -> list[str]:
         """Machines of other holders that have been seen here lately."""
         return [
--- /dev/null
+++ b/tests/test_troubles.py
@@ -0,0 +1,199 @@
+"""Stories of silent and stopped controllers, of machines that are up at once, of guests."""
+
+import json
+from typing import Any
+
+import pytest
+
+from sagecove.coordination.effects import Asked, Reply
+from tests.world import World, job
+
+
+@pytest.fixture
+def world() -> World:
+    """Three controllers that are up, with six small machines, two in each shard."""
+    w = World()
+    for i in range(6):
+        w.cloud.start("small", "ab"[i % 2], False)
+    w.run(3)
+    return w
+
+
+def holder_of(w: World, job_id: str) -> str:
+    return next(n for n, o in w.owners.items() if o.jobs[job_id].placed)
+
+
+# Shorter and longer than a controller's lease (7.8 s here) and a worker's (12 s).
+@pytest.mark.parametrize("seconds", [3.0, 7.0, 10.0, 40.0])
+@pytest.mark.parametrize("decided", [False, True])
+def test_a_controller_stands_still_before_deciding_or_before_it_is_sent(
+    world: World, seconds: float, decided: bool
+) -> None:
+    # World.check and World.started watch for two holders, two starts and tasks of cancelled jobs.
+    world.submit("n0", job(1, shape="service", hands=6))
+    world.until(lambda: world.running("run-000001") == 6, 40)
+    name = holder_of(world, "run-000001")
+    other = next(n for n in world.owners if n != name)
+    world.submit(name, job(2, hands=6))
+    (world.decided if decided else world.still)[name] = world.now + seconds
+    world.run(0.2)
+    assert world.user(other, "POST", "/api/jobs/run-000001/cancel")[0] == 200
+    world.submit(other, job(3, hands=6))
+    world.run(seconds + 45)
+    assert world.running("run-000001") == 0
+    world.until(lambda: len(world.completed) == 12, 60)
+    # That it was not there to hear anybody does not make machines silent.
+    silent = {k for _, k, v in world.state.changes if v and v.get("leaving") == "silent"}
+    assert not silent
+
+
+def test_all_controllers_stand_still_in_turn_and_no_task_is_lost(world: World) -> None:
+    world.submit("n0", job(1, shape="service", hands=9))
+    world.until(lambda: world.running("run-000001") == 9, 60)
+    starts = len(world.starts)
+    for name in sorted(world.owners):
+        world.still[name] = world.now + 6.0
+        world.run(14)
+    assert world.running("run-000001") == 9
+    assert len(world.starts) == starts
+
+
+def test_workers_of_a_silent_controller_wait_with_its_peers(world: World) -> None:
+    # Sent back to the silent holder, they ran into a second timeout and the end of their leases.
+    world.submit("n0", job(1, shape="service", hands=9))
+    world.until(lambda: world.running("run-000001") == 9, 60)
+    starts = len(world.starts)
+    name = holder_of(world, "run-000001")
+    world.run(3)
+    world.still[name] = world.now + 70.0
+    world.run(30)
+    assert name in {s for n, o in world.owners.items() if n != name for s in o.held}
+    assert len(world.starts) == starts
+    # And users are turned away by it, or served by the others; placing goes on.
+    world.submit(next(n for n in world.owners if n != name), job(2, hands=4))
+    world.until(lambda: len(world.completed) == 4, 40)
+
+
+def test_a_holder_cut_off_from_its_peers_alone_keeps_its_workers(world: World) -> None:
+    # inc-8d24: workers that had come by a peer were sent to and fro between the others.
+    world.submit("n0", job(1, shape="service", hands=9))
+    world.until(lambda: world.running("run-000001") == 9, 60)
+    world.run(3)
+    name = holder_of(world, "run-000001")
+    for n in world.owners:
+        if n != name:
+            world.cut_links |= {(name, f"10.0.0.{n[1:]}:81"), (n, f"10.0.0.{name[1:]}:81")}
+    world.run(4)
+    starts = len(world.starts)
+    lost = [w for w in world.workers.values() if w.node == name and w.live()]
+    for worker in lost:
+        worker.node = next(n for n in world.owners if n != name)
+    world.run(40)
+    assert world.running("run-000001") == 9
+    assert len(world.starts) == starts
+
+
+def test_a_node_that_stood_still_is_not_ready_before_it_has_read_again(world: World) -> None:
+    owner = world.owners["n0"]
+    answers: list[int] = []
+    reply = lambda status, body: answers.append(status)  # noqa: E731
+    now = world.now + 20
+    effects = owner.handle([Asked("GET", "/ready", b"", reply)], now, now)
+    assert [e.status for e in effects if isinstance(e, Reply)] == [503]
+
+
+def test_machines_that_are_up_before_the_rentals_answer_is_written_down() -> None:
+    # The record of the rental's answer conflicted with what the controllers had taken in, and the
+    # cloud was asked again and again; gangs' machines ended up in three shards.
+    w = World()
+    w.run(3)
+    real = w.cloud.start
+
+    def at_once(sku: str, zone: str, spot: bool, boot: float = 0.0) -> str:
+        return real(sku, zone, spot, 0.0)
+
+    w.cloud.start = at_once  # type: ignore[method-assign]
+    request = w.cloud.request
+    calls: list[str] = []
+
+    def slow(method, path, body, answer):  # type: ignore[no-untyped-def]
+        if path == "/machines":
+            calls.append(body["hire"])
+            request(method, path, body, lambda s, b: w.later(1.5, lambda: answer(s, b)))
+        else:
+            request(method, path, body, answer)
+
+    w.cloud.request = slow  # type: ignore[method-assign]
+    gang = job(1, shape="ensemble", hands=3, vcpus=12.0, cards=4, memoryGb=40.0, rank="urgent")
+    assert w.submit("n1", gang)[0] == 201
+    assert w.until(lambda: w.running("run-000001") == 3, 30) < 8
+    assert len(calls) == len(set(calls)) and w.cloud.number == 3
+
+
+def test_a_refused_rental_is_not_asked_for_at_every_tick() -> None:
+    # inc-24c8: while the state service refused the removal of its record, the cloud was asked for
+    # it four times a second.
+    w = World()
+    w.run(3)
+    w.cloud.capacity = {"small": 0, "gpu": 0}
+    calls: list[str] = []
+    request = w.cloud.request
+
+    def counted(method, path, body, answer):  # type: ignore[no-untyped-def]
+        if path == "/machines":
+            calls.append(body["hire"])
+        request(method, path, body, answer)
+
+    w.cloud.request = counted  # type: ignore[method-assign]
+    w.state.hook = lambda node, body: (
+        "throttled" if any("s/rental/" in c.get("drop", "") for c in body["then"]) else None
+    )
+    w.submit("n0", job(1, hands=4))
+    w.run(15)
+    assert calls and max(calls.count(name) for name in calls) <= 2
+
+
+def test_guests_without_limit_run_and_short_tasks_are_claimed_ahead() -> None:
+    # A limit of 0 was taken for a limit of nothing, and every job of such a team refused.
+    w = World()
+    for i in range(12):
+        w.cloud.start("small", "ab"[i % 2], False)
+    w.run(3)
+    for worker in w.workers.values():
+        worker.run_s = 2.0
+    claims = [0]
+
+    def count(_: str, body: dict[str, Any]) -> None:
+        claims[0] += sum("s/job/" in change.get("put", "") for change in body["then"])
+
+    w.state.hook = count
+    guests = job(1, outfit="guests", hands=2000, vcpus=0.25, memoryGb=0.5, reckonS=2.0, rank="low")
+    assert w.submit("n0", guests)[0] == 201
+    w.until(lambda: len(w.completed) == 2000, 120)
+    assert len(w.starts) == 2000
+    # Some twenty tasks a write, results included.
+    assert claims[0] < 200
+    record = w.state.keys.get("s/job/run-000001")
+    assert record is None or len(json.dumps(record[0])) < 2000
+
+
+def test_explanations_and_the_cluster_at_a_glance(world: World) -> None:
+    world.cloud.capacity = {"small": 6, "gpu": 0}
+    for worker in world.workers.values():
+        worker.run_s = 500.0
+    world.submit("n0", job(1, hands=30, rank="normal"))
+    world.run(10)
+    world.submit("n1", job(2, outfit="blue", hands=9, rank="low"))
+    world.run(5)
+    status, told = world.user("n1", "GET", "/explain/run-000002")
+    assert status == 200 and told["team"] == "blue" and told["kind"] == "sweep"
+    assert any("wait for room" in reason for reason in told["reasons"])
+    assert any("run-000001" in reason for reason in told["reasons"])
+    assert world.user("n1", "GET", "/explain/run-000009")[0] == 404
+    assert world.user("n1", "POST", "/cluster")[0] == 405
+    status, seen = world.user("n2", "GET", "/cluster")
+    assert status == 200 and seen["up"] == ["n0", "n1", "n2"]
+    assert {s["name"]: s["holder"] for s in seen["shards"]} == {n: n for n in world.owners}
+    red = next(t for t in seen["teams"] if t["name"] == "red")
+    assert red["cpus"] == 16 + red["borrowed_cpus"] == 60 - 2 * red["waiting_tasks"]
+    assert next(t for t in seen["teams"] if t["name"] == "guests")["most_cpus"] is None
--- a/tests/world.py
+++ b/tests/world.py
@@ -66,6 +66,7 @@
             "teams": [
                 {"name": "red", "cpus": 16.0, "cpus_max": 64.0, "gpus": 4, "gpus_max": 16},
                 {"name": "blue", "cpus": 8.0, "cpus_max": 8.0, "gpus": 0, "gpus_max": 0},
+                {"name": "guests", "cpus": 0.0, "cpus_max": 0.0},
             ],
             "workers": {
                 "report_s": 2.0,
@@ -349,6 +350,7 @@
         self.warning: float | None = None
         self.fails = False
         self.changed_at = 0.0
+        self.in_flight = False
         world.later(0.01, self.report)
 
     def body(self) -> dict[str, Any]:
@@ -386,13 +388,14 @@
         self.send()
 
     def send(self) -> None:
-        if self.cut:
+        if self.cut or self.in_flight:
             return
+        self.in_flight = True
         sent = self.world.now
         session = self.session
 
         def answer(status: int | None, body: bytes) -> None:
-            if self.dead or self.world.now - sent > 4.0 or session != self.session:
+            if self.dead or session != self.session:
                 return
             if status == 200:
                 message = json.loads(body)
@@ -404,34 +407,26 @@
                 self.node = json.loads(body)["foreman"]
                 self.world.later(0.2, self.send)
             else:
-                names = sorted(self.world.owners)
-                if names:
-                    others = [n for n in names if n != self.node] or names
-                    self.node = self.world.random.choice(others)
-                    self.world.later(1.0, self.send)
+                self.next_node()
 
         answered = [False]
 
         def once(status: int | None, body: bytes) -> None:
             if not answered[0]:
                 answered[0] = True
+                self.in_flight = False
                 answer(status, body)
 
         node = self.node
         if node not in self.world.deaf:
             self.world.ask(node, "POST", "/hello", self.body(), once)
-        self.world.later(4.0, lambda: None if answered[0] else self.lost(once))
+        self.world.later(4.0, lambda: once(None, b""))
 
-    def lost(self, once: Answer) -> None:
-        """No response within 4 s: the next node, 1 s later."""
-        once(None, b"")
+    def next_node(self) -> None:
+        """Try the next node 1 s later."""
         names = sorted(self.world.owners)
-        if names and not self.dead:
-            self.node = (
-                names[(names.index(self.node) + 1) % len(names)]
-                if (self.node in names)
-                else names[0]
-            )
+        if names:
+            self.node = next((n for n in names if n > self.node), names[0])
             self.world.later(1.0, self.send)
 
     def commands(self, body: dict[str, Any]) -> tuple[int, bytes]:
@@ -496,6 +491,10 @@
         # Controllers that workers cannot reach, nor they the workers.
         self.deaf: set[str] = set()
         self.cut_links: set[tuple[str, str]] = set()
+        # Controllers that stand still, and until when; the second kind has decided already, and
+        # what it decided leaves only afterwards.
+        self.still: dict[str, float] = {}
+        self.decided: dict[str, float] = {}
         self.nodes = nodes
         for i in range(nodes):
             self.boot_node(i)
@@ -537,10 +536,22 @@
 
     def turn(self, name: str) -> None:
         owner = self.owners[name]
+        if self.now < self.still.get(name, 0.0):
+            return
         batch, self.inbox[name] = self.inbox[name], []
         if not batch and owner.wait() > 0.02 and self.now - owner.now < owner.wait():
             return
-        for effect in owner.handle(batch, self.now, self.now):
+        effects = owner.handle(batch, self.now, self.now)
+        if (until := self.decided.pop(name, None)) is not None and effects:
+            self.still[name] = until
+            self.later(until - self.now, lambda: self.emit(name, owner, effects))
+        else:
+            self.emit(name, owner, effects)
+
+    def emit(self, name: str, owner: Owner, effects: list[Any]) -> None:
+        if self.owners.get(name) is not owner:
+            return
+        for effect in effects:
             if isinstance(effect, Reply):
                 effect.exchange(effect.status, msgspec.json.encode(effect.body))
             else:
