--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -59,6 +59,7 @@
         self.claim_after = 0.0
         self.trim_after = 0.0
         self.seen_at = 0.0
+        self.wait_told_at = 0.0
         self.stuck_at: dict[str, float] = {}
         # Failing, see `Failures`: machines it has failed on, tries that have, whether it is the
         # job that is to blame, and when a peer last said so.
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -53,6 +53,8 @@
 TICK_S = 0.25
 # The owner is called at every tick; a longer time without a call is a gap in its own time.
 GAP_S = 8 * TICK_S
+# A job that waits this long is told of in the log, and again after as long.
+WAIT_TOLD_S = 20.0
 
 
 class Owner:
@@ -110,6 +112,7 @@
         self.ticked_at = -1e9
         self.hint_at = 0.0
         self.idle_at = 0.0
+        self.wait_told_at = 0.0
         self.quota = Quota(self)
         self.leadership = Leadership(self)
         self.failures = Failures(self)
@@ -185,6 +188,7 @@
         self.provision.tick(now)
         self._idle(now)
         self._hint(now)
+        self._tell_waits(now)
         if self.mirror.loaded and now - self.synced_at > self.leadership.length / 8:
             self.want_sync()
         self.dirty = True
@@ -479,7 +483,7 @@
         if job is None:
             job = self.jobs[job_id] = JobRun(event.value, event.stamp)
             self.jobs_changed = True
-            job.seen_at = self.now
+            job.seen_at = job.wait_told_at = self.now
             # Or all controllers would reach for it in the same moment, and all but one in vain.
             job.claim_after = self.now + self.random.uniform(0.0, self.claims.poll_s / 6)
             self._note_arrival(job)
@@ -820,6 +824,19 @@
 
         return done
 
+    def _tell_waits(self, now: float) -> None:
+        """Log why jobs wait that have waited for long: the oldest few at a time."""
+        if not self.leadership.provisioner_term or now < self.wait_told_at + 5.0:
+            return
+        self.wait_told_at = now
+        from sagecove.coordination import explain
+
+        long = [j for j in self.jobs.values() if j.unclaimed and now - j.wait_told_at > WAIT_TOLD_S]
+        for job in sorted(long, key=lambda j: j.wait_told_at)[:3]:
+            job.wait_told_at = now
+            told = explain.explain(self, job)
+            log.info("waits job=%s team=%s why=%s", job.id, told.team, "; ".join(told.reasons))
+
     def hint_cancel(self, job_id: str) -> None:
         """Let the peers look for a cancellation before their watch tells them."""
         self.cancelled_lately.append(job_id)
--- a/sagecove/coordination/quota.py
+++ b/sagecove/coordination/quota.py
@@ -157,13 +157,23 @@
     def trims(self, now: float) -> list[tuple[str, str, QuotaRecord]]:
         """Allotments to give back because the team is near its limit: (team, shard, record)."""
         out = []
-        waiting = {job.spec.team for job in self.owner.jobs.values() if job.unclaimed}
+        # Per team, the most that a job needs at once that waits to be claimed.
+        waiting: dict[str, list[float]] = {}
+        for job in self.owner.jobs.values():
+            if job.unclaimed:
+                need = waiting.setdefault(job.spec.team, [0.0, 0.0])
+                count = job.unclaimed.bit_count() if job.whole else 1
+                need[0] = max(need[0], count * job.spec.cpus)
+                need[1] = max(need[1], count * job.spec.gpus)
         for team, limit in self.teams.items():
             if team not in waiting:
                 continue
             spare = self.spare(team)
-            tight = spare[0] < 0.25 * limit.cpus_max or (
-                limit.gpus_max > 0 and spare[1] < 0.25 * limit.gpus_max
+            # A gang may need more than the rest of a limit that is far from used up: what other
+            # shards have been allotted and do not use once kept it waiting for good.
+            need = waiting[team]
+            tight = spare[0] < max(0.25 * limit.cpus_max, need[0]) or spare[1] < max(
+                0.25 * limit.gpus_max, need[1]
             )
             if not tight or now - self.trimmed_at.get(team, -1e9) < 1.0:
                 continue
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -197,3 +197,18 @@
     red = next(t for t in seen["teams"] if t["name"] == "red")
     assert red["cpus"] == 16 + red["borrowed_cpus"] == 60 - 2 * red["waiting_tasks"]
     assert next(t for t in seen["teams"] if t["name"] == "guests")["most_cpus"] is None
+
+
+def test_a_gang_gets_what_other_shards_were_allotted_and_do_not_use() -> None:
+    # inc-8d24: 24 GPUs at most, a few left with each shard in coarse steps, and a gang of 8 waited
+    # for good, and its team's other work with it, since the limit was "far away".
+    w = World()
+    for _ in range(3):
+        w.cloud.start("gpu", "a", False)
+    allotted = {"shards": {n: [4.0, 3.0] for n in w.owners}}
+    w.state.commit({"if": [], "then": [{"put": "s/quota/red", "v": allotted}]})
+    w.run(4)
+    # 7 of 16 are spare, which is not near the limit, but 12 are needed.
+    gang = job(9, shape="ensemble", hands=3, vcpus=10.0, cards=4, memoryGb=40.0, rank="urgent")
+    w.submit("n1", gang)
+    w.until(lambda: w.running("run-000009") == 3, 90)
