--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -104,7 +104,11 @@
             return
         retries, self.retries = self.retries, []
         for job, shard, claims, bits in retries:
-            if owner.held.get(shard.name) is shard and owner.jobs.get(job.id) is job:
+            if owner.held.get(shard.name) is not shard:
+                # Its term is over, so that it can't be executed any more: were the tasks kept
+                # back for it, nobody would ever place them.
+                job.releasing &= ~bits
+            elif owner.jobs.get(job.id) is job:
                 self._write_release(job, shard, claims, bits)
         self._record(now, shards)
         self._gangs(now)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -212,3 +212,27 @@
     gang = job(9, shape="ensemble", hands=3, vcpus=10.0, cards=4, memoryGb=40.0, rank="urgent")
     w.submit("n1", gang)
     w.until(lambda: w.running("run-000009") == 3, 90)
+
+
+def test_a_release_in_doubt_does_not_outlive_its_term(world: World) -> None:
+    # inc-8d24: its outcome unknown, a release was to be repeated, the shard was lost and regained,
+    # and the tasks were kept back for it for good: the job never ended.
+    world.cloud.capacity = {"small": 6, "gpu": 0}
+    world.submit("n0", job(1, hands=4))
+    world.until(lambda: world.running("run-000001") == 4, 40)
+    name = holder_of(world, "run-000001")
+    owner = world.owners[name]
+    run, shard = owner.jobs["run-000001"], owner.held[name]
+    index, placement = next(iter(run.placed.items()))
+    owner.workers.drop(placement.machine, placement)
+    world.workers[placement.machine.name].tasks.pop(placement.task)
+    run.releasing = 1 << index
+    owner.claims.retries.append((run, shard, dict(run.claims), 1 << index))
+    lease = owner.leadership.lease
+    assert lease is not None
+    world.state.end(lease)
+    world.until(lambda: standing(world, "run-000001") == "done", 60)
+
+
+def standing(w: World, job_id: str) -> str:
+    return w.user("n0", "GET", f"/api/jobs/{job_id}")[1]["standing"]
