--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -223,14 +223,16 @@
     name = holder_of(world, "run-000001")
     owner = world.owners[name]
     run, shard = owner.jobs["run-000001"], owner.held[name]
-    index, placement = next(iter(run.placed.items()))
-    owner.workers.drop(placement.machine, placement)
-    world.workers[placement.machine.name].tasks.pop(placement.task)
-    run.releasing = 1 << index
-    owner.claims.retries.append((run, shard, dict(run.claims), 1 << index))
     lease = owner.leadership.lease
     assert lease is not None
     world.state.end(lease)
+    world.until(lambda: name in owner.held and owner.held[name] is not shard, 20)
+    # The answer, or that there is none, comes when the term has changed already.
+    index, placement = next(iter(run.placed.items()))
+    run.releasing = 1 << index
+    owner.claims.retries.append((run, shard, dict(run.claims), 1 << index))
+    worker = world.workers[placement.machine.name]
+    worker.exit(placement.task, placement.attempt, "error")
     world.until(lambda: standing(world, "run-000001") == "done", 60)
 
 
