--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -218,6 +218,8 @@
     # inc-8d24: its outcome unknown, a release was to be repeated, the shard was lost and regained,
     # and the tasks were kept back for it for good: the job never ended.
     world.cloud.capacity = {"small": 6, "gpu": 0}
+    for worker in world.workers.values():
+        worker.run_s = 20.0
     world.submit("n0", job(1, hands=4))
     world.until(lambda: world.running("run-000001") == 4, 40)
     name = holder_of(world, "run-000001")
@@ -227,6 +229,7 @@
     assert lease is not None
     world.state.end(lease)
     world.until(lambda: name in owner.held and owner.held[name] is not shard, 20)
+    world.until(lambda: len(run.placed) > 0, 5)
     # The answer, or that there is none, comes when the term has changed already.
     index, placement = next(iter(run.placed.items()))
     run.releasing = 1 << index
