--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -92,6 +92,8 @@
         self.arrivals: dict[str, deque[float]] = {}
         self.class_dues: dict[str, list[tuple[bool, float]]] = {}
         self.class_run: dict[str, float] = {}
+        # Seconds that machines of a type took lately from their rental to their first report.
+        self.boots: dict[str, deque[float]] = {}
         self.counts: dict[str, int] = {}
         self.synced_at = -1e9
         self.sync_failed_at = -1e9
@@ -705,6 +707,24 @@
         old = self.class_run.get(job.spec.klass, 1.0)
         self.class_run[job.spec.klass] = old + 0.05 * (ratio - old)
 
+    def came_up(self, machine: Machine) -> None:
+        """A machine has reported for the first time: learn how long that takes."""
+        took = self.wall() - machine.record.at
+        shard = self.held.get(machine.record.shard)
+        if shard is None or self.now - took < shard.since:
+            # Rented before this holder's time: it may have reported to another.
+            return
+        self.boots.setdefault(machine.record.type, deque(maxlen=16)).append(took)
+
+    def boot_most_s(self, kind: MachineType) -> float:
+        """A machine that takes longer than this never comes up: twice the slowest seen lately.
+        Before enough have been seen, several times the nominal time, as PROTOCOL has it."""
+        most = 5 * kind.boot_s + 30.0
+        seen = self.boots.get(kind.name, ())
+        if len(seen) >= 8:
+            most = min(most, max(2.5 * kind.boot_s, 2 * max(seen)))
+        return most
+
     def expected(self, job: JobRun) -> float:
         """Expected run time of a task, its image included."""
         kind = next(iter(self.types.values()), None)
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -228,7 +228,7 @@
                 machine.state == "booting"
                 and not known.ever_heard
                 and known.kind is not None
-                and machine.age_s > 5 * known.kind.boot_s + 30
+                and machine.age_s > owner.boot_most_s(known.kind)
                 and not known.record.leaving
             ):
                 self._mark(known.name, known.record, known.stamp, "never came up")
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -203,6 +203,8 @@
         machine.brand = report.token
         machine.addr = report.addr
         machine.heard_at = now
+        if not machine.ever_heard:
+            owner.came_up(machine)
         machine.ever_heard = True
         if report.notice_s is not None and not machine.notice:
             log.info("spot notice machine=%s", machine.name)
