--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -143,7 +143,8 @@
         # (type, zone, spot) that had no capacity, until when it is not asked again.
         self.full_until: dict[tuple[str, str, bool], float] = {}
         self.listing: list[c.Listed] = []
-        self.unlisted: dict[str, float] = {}
+        # Deleted machines whose records are being removed.
+        self.dropping: set[str] = set()
         self.term = 0
         # Rentals that were refused, and when the removal of their record may be tried again.
         self.refused: dict[str, float] = {}
@@ -218,10 +219,11 @@
         if page.more and page.machines and len(self.listing) < 5000:
             self._page(page.machines[-1].name)
             return
+        sizes = self._shard_sizes()
         for machine in self.listing:
             known = owner.machines.get(machine.name)
             if known is None:
-                self._unexpected(machine)
+                self._unexpected(machine, sizes)
             elif machine.state == "failed" and not known.record.leaving:
                 self._mark(known.name, known.record, known.stamp, "failed")
             elif (
@@ -242,7 +244,7 @@
         )
         self._commit([wire.Put(MACHINE + name, new)], [(MACHINE + name, stamp)], lambda _: None)
 
-    def _unexpected(self, machine: c.Listed) -> None:
+    def _unexpected(self, machine: c.Listed, sizes: dict[str, int]) -> None:
         """A machine nobody has a record of: from a lost or late rental. Use it."""
         owner = self.owner
         gone = owner.workers.gone.get(machine.name)
@@ -251,11 +253,13 @@
             return
         if any(name.startswith("rent:") for name in self.busy):
             return
+        home = _fewest(sizes)
+        sizes[home] += 1
         record = MachineRecord(
             machine.type,
             machine.zone,
             machine.spot,
-            _fewest(self._shard_sizes()),
+            home,
             machine.addr,
             owner.wall(),
             "failed" if machine.state == "failed" else "",
@@ -268,7 +272,14 @@
 
     def _delete(self, now: float) -> None:
         owner = self.owner
-        names = [m.name for m in owner.machines.values() if m.record.leaving]
+        # While the records of deleted machines wait for their removal, deleting them again would
+        # queue that again, at every tick: on a bench day this filled the queue of transactions, and
+        # no claim went through for a minute.
+        names = [
+            m.name
+            for m in owner.machines.values()
+            if m.record.leaving and m.name not in self.dropping
+        ]
         if not names or "delete" in self.busy:
             return
         names = sorted(names)[: c.DELETE_MOST]
@@ -280,13 +291,16 @@
                 part = names[start : start + 8]
                 drops: list[wire.Put | wire.Drop] = []
                 conditions = []
+                self.dropping.update(part)
                 for name in part:
                     machine = owner.machines.get(name)
                     if machine is not None:
                         drops.append(wire.Drop(MACHINE + name))
                         conditions.append((MACHINE + name, machine.stamp))
                 if drops:
-                    self._commit(drops, conditions, lambda _: None)
+                    self._commit(drops, conditions, self._dropped(part))
+                else:
+                    self.dropping.difference_update(part)
 
         self._call("delete", "POST", "/machines/delete", c.Names(names), done)
 
@@ -300,6 +314,12 @@
                     return shard
         return None
 
+    def _dropped(self, names: list[str]) -> Callable[[Result], None]:
+        def done(_: Result) -> None:
+            self.dropping.difference_update(names)
+
+        return done
+
     # -- renting --------------------------------------------------------------------------------
 
     def _shard_sizes(self) -> dict[str, int]:
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -262,3 +262,41 @@
     machine.record.at = owner.wall() - 45.0
     owner.came_up(machine)
     assert owner.boot_most_s(kind) < 61.0
+
+
+def test_many_machines_returned_at_once_do_not_fill_the_queue_of_transactions() -> None:
+    # While the removal of their records waited, they were deleted again at every tick, and each
+    # time the removal was queued once more: claims waited behind hundreds of these for a minute.
+    w = World(nodes=1)
+    for i in range(60):
+        w.cloud.start("small", "ab"[i % 2], False)
+    w.run(3)
+    sizes = {s: len(m) for s, m in w.owners["n0"].by_shard.items()}
+    assert sizes == {"n0": 60}
+    owner = w.owners["n0"]
+    drops: list[str] = []
+
+    def slowly(_: str, body: dict[str, Any]) -> str | None:
+        names = [c["drop"] for c in body["then"] if "s/machine/" in c.get("drop", "")]
+        drops.extend(names)
+        return "throttled" if names and w.now < 1060 else None
+
+    w.state.hook = slowly
+    longest = 0
+    for _ in range(60):
+        w.run(1)
+        longest = max(longest, len(owner.store.waiting))
+    assert len(drops) > 20
+    assert longest < 100
+    w.until(lambda: len(owner.machines) < 10, 120)
+
+
+def test_machines_found_in_the_list_are_shared_out_among_the_shards() -> None:
+    # All that one listing told of went to the shard that had the fewest before it.
+    w = World()
+    w.run(0.5)
+    for i in range(30):
+        w.cloud.start("small", "ab"[i % 2], False, 60.0)
+    w.run(20)
+    sizes = {s: len(m) for s, m in w.owners["n0"].by_shard.items()}
+    assert sizes == {"n0": 10, "n1": 10, "n2": 10}
