--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -395,7 +395,7 @@
         self.sync_wanted = False
         self.syncing = True
         # Polls of an interval share one read: its length keeps reads within a part of the budget.
-        self.sync_at = now + 5 / self.store.fair
+        self.sync_at = now + 5 / self.store.requests.rate
         self.store.watch(now, r.LIVE, self.mirror.applied, 0.0, self._changes(now, True))
 
     def _changes(self, begun: float, sync: bool) -> Done:
@@ -407,7 +407,7 @@
             else:
                 self.watching = False
                 # Changes come all the time: each answer should carry several.
-                self.watch_at = self.now + 5 / self.store.fair
+                self.watch_at = self.now + 5 / self.store.requests.rate
             answer = decode(body, wire.Changes) if status == 200 else None
             if answer is not None:
                 for change in answer.events:
--- a/sagecove/coordination/placement.py
+++ b/sagecove/coordination/placement.py
@@ -49,11 +49,15 @@
     )
 
 
+def price_of(kind: MachineType, spot: bool) -> float:
+    """Price of a machine by the hour."""
+    return kind.spot_price if spot and kind.spot_price else kind.price
+
+
 def dearness(kind: MachineType, spot: bool, base: float) -> int:
     """Class of a machine's price by the CPU: 0 up to `base`, the cheapest type's ordinary price,
     then a class for each factor of about 3.5 (what divides spot from ordinary machines)."""
-    price = kind.spot_price if spot and kind.spot_price else kind.price
-    times = price / max(kind.cpus, 0.1) / base if base > 0 else 1.0
+    times = price_of(kind, spot) / max(kind.cpus, 0.1) / base if base > 0 else 1.0
     return 0 if times <= 1 else 1 + int(log(times, 3.5))
 
 
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -16,6 +16,7 @@
 from sagecove.coordination.placement import (
     dearness,
     machine_allowed,
+    price_of,
     slots,
     type_allowed,
     zone_counts,
@@ -357,7 +358,7 @@
                 for spot in (True, False) if spec.spot else (False,):
                     if self.full_until.get((kind.name, zone, spot), 0.0) > now:
                         continue
-                    price = _price(kind, spot)
+                    price = price_of(kind, spot)
                     # Late work costs a multiple of its cheapest price; beyond that, better late.
                     if job.array and price / fit > DEAR * nominal:
                         continue
@@ -375,7 +376,7 @@
         """Lowest price of a task on a full machine of a type."""
         if not type_allowed(spec, kind):
             return float("inf")
-        return _price(kind, spec.spot) / self._fit(spec, kind)
+        return price_of(kind, spec.spot) / self._fit(spec, kind)
 
     def _rent_what_lacks(self, now: float) -> None:
         """Rent for tasks that nobody has room for, beyond what is booting already."""
@@ -402,7 +403,7 @@
                     self._fill(job, count, home, coming, wanted, now)
         self._fill_arrays([j for j in jobs if j.array], coming, wanted, now)
         for (name, zone, spot, shard), count in wanted.items():
-            self._rent_all(name, zone, spot, shard, count)
+            self.rent(name, zone, spot, min(count, c.RENT_MOST), shard)
 
     def _gang_homes(self, jobs: list[JobRun], coming: Fleet) -> dict[str, str]:
         """Where gangs of whole machines are served: a gang must fit one shard, so what is rented
@@ -562,7 +563,7 @@
         out = []
         # Prices of a CPU.
         prices = [
-            (_price(m.kind, m.record.spot) / max(m.kind.cpus, 0.1), m.name, m)
+            (price_of(m.kind, m.record.spot) / max(m.kind.cpus, 0.1), m.name, m)
             for m in machines
             if m.kind is not None
         ]
@@ -594,13 +595,9 @@
         owner = self.owner
         return owner.finish_within(job) * 0.7 - (owner.wall() - job.at)
 
-    def _rent_all(self, name: str, zone: str, spot: bool, shard: str, count: int) -> None:
-        """Rent machines, by as few calls as can be. Of one type, zone and kind only one call is
-        under way: its answer tells whether there are more to be had."""
-        self.rent(name, zone, spot, min(count, c.RENT_MOST), shard)
-
     def rent(self, kind: str, zone: str, spot: bool, count: int, shard: str) -> None:
-        """Write a rental down, then ask the cloud for it."""
+        """Write a rental down, then ask the cloud for it. Of one type, zone and kind only one call
+        is under way: its answer tells whether there are more to be had."""
         owner = self.owner
         self.count += 1
         name = f"h{self.term}-{self.count}.{shard}"
@@ -714,11 +711,6 @@
         self.owner.commit([*conditions, (PROVISIONER, self.term)], changes, done)
 
 
-def _price(kind: MachineType, spot: bool) -> float:
-    """Price of a machine by the hour."""
-    return kind.spot_price if spot and kind.spot_price else kind.price
-
-
 def _fewest(counts: dict[str, int]) -> str:
     """The shard with the fewest machines."""
     return min(counts, key=lambda n: (counts[n], n))
--- a/sagecove/storage/store.py
+++ b/sagecove/storage/store.py
@@ -61,7 +61,6 @@
     def __init__(self, rps: float, write_rps: float, nodes: int, now: float, send: Send) -> None:
         # This controller's share of the limits; a little is left for what others do in bursts.
         share = 0.95 / nodes
-        self.fair = rps * share
         self.requests = Budget(rps * share, rps * share, now)
         self.writes = Budget(write_rps * share, write_rps * 0.5, now)
         # What others leave unused may be had: the share of writes grows while transactions wait
