--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -300,3 +300,79 @@
     w.run(20)
     sizes = {s: len(m) for s, m in w.owners["n0"].by_shard.items()}
     assert sizes == {"n0": 10, "n1": 10, "n2": 10}
+
+
+def still(w: World, name: str) -> None:
+    w.still[name] = w.now + 60.0
+
+
+def cut_off(w: World, name: str) -> None:
+    for n in w.owners:
+        if n != name:
+            w.cut_links |= {(name, f"10.0.0.{n[1:]}:81"), (n, f"10.0.0.{name[1:]}:81")}
+    w.cut_links |= {(name, "state"), (name, "cloud")}
+    w.deaf.add(name)
+
+
+def no_state(w: World, name: str) -> None:
+    w.cut_links.add((name, "state"))
+
+
+def no_workers(w: World, name: str) -> None:
+    w.deaf.add(name)
+
+
+def refused(w: World, name: str) -> None:
+    w.state.refused.add(name)
+
+
+TROUBLES = [still, cut_off, no_state, no_workers, refused]
+
+
+@pytest.mark.parametrize("first", TROUBLES)
+@pytest.mark.parametrize("second", [still, no_workers, refused])
+def test_two_controllers_in_trouble_for_a_minute_and_the_third_serves(
+    world: World, first: Any, second: Any
+) -> None:
+    # World.check and World.started watch the rules; here: placing goes on, nothing is stuck after.
+    world.submit("n0", job(1, shape="service", hands=6))
+    world.until(lambda: world.running("run-000001") == 6, 60)
+    first(world, "n0")
+    world.run(5)
+    second(world, "n1")
+    world.run(35)
+    assert world.submit("n2", job(2, hands=4))[0] == 201
+    world.until(lambda: len(world.completed) == 4, 60)
+    world.cut_links.clear()
+    world.deaf.clear()
+    world.state.refused.clear()
+    world.run(70)
+    assert {n: set(o.held) for n, o in world.owners.items()} == {n: {n} for n in world.owners}
+    assert world.running("run-000001") == 6
+    world.submit("n0", job(3, hands=9))
+    world.until(lambda: len(world.completed) == 13, 60)
+
+
+def test_a_burst_of_guests_with_a_controller_killed_in_the_middle(world: World) -> None:
+    # Production starts and cancellations go first; no tiny job is lost or run twice.
+    world.submit("n0", job(1, shape="service", hands=2, rank="production"))
+    for i in range(100, 250):
+        tiny = job(i, outfit="guests", vcpus=0.25, memoryGb=0.4, rank="low", reckonS=5.0)
+        world.ask(f"n{i % 3}", "POST", "/api/jobs", world.spec(tiny), lambda s, b: None)
+        world.run(0.1)
+        if i == 160:
+            world.kill("n1")
+        if i == 190:
+            world.boot_node(1)
+    begun = world.now
+    assert world.submit("n0", job(2, shape="service", hands=2, rank="production"))[0] == 201
+    world.until(lambda: world.running("run-000002") == 2, 10)
+    assert world.user("n2", "POST", "/api/jobs/run-000002/cancel")[0] == 200
+    assert world.now - begun < 10
+    accepted = {f"run-{i:06d}" for i in range(100, 250)} & {
+        k.split("/")[-1] for _, k, v in world.state.changes if k.startswith(("s/job/", "o/"))
+    }
+    assert len(accepted) > 100
+    for i in range(100, 250):
+        assert world.submit(f"n{i % 3}", world.specs[f"run-{i:06d}"])[0] in (200, 201)
+    world.until(lambda: len(world.completed) == 150, 120)
