--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -197,3 +197,47 @@
     red = next(t for t in seen["teams"] if t["name"] == "red")
     assert red["cpus"] == 16 + red["borrowed_cpus"] == 60 - 2 * red["waiting_tasks"]
     assert next(t for t in seen["teams"] if t["name"] == "guests")["most_cpus"] is None
+
+
+def test_a_gang_gets_what_other_shards_were_allotted_and_do_not_use() -> None:
+    # inc-8d24: 24 GPUs at most, a few left with each shard in coarse steps, and a gang of 8 waited
+    # for good, and its team's other work with it, since the limit was "far away".
+    w = World()
+    for _ in range(3):
+        w.cloud.start("gpu", "a", False)
+    allotted = {"shards": {n: [4.0, 3.0] for n in w.owners}}
+    w.state.commit({"if": [], "then": [{"put": "s/quota/red", "v": allotted}]})
+    w.run(4)
+    # 7 of 16 are spare, which is not near the limit, but 12 are needed.
+    gang = job(9, shape="ensemble", hands=3, vcpus=10.0, cards=4, memoryGb=40.0, rank="urgent")
+    w.submit("n1", gang)
+    w.until(lambda: w.running("run-000009") == 3, 90)
+
+
+def test_a_release_in_doubt_does_not_outlive_its_term(world: World) -> None:
+    # inc-8d24: its outcome unknown, a release was to be repeated, the shard was lost and regained,
+    # and the tasks were kept back for it for good: the job never ended.
+    world.cloud.capacity = {"small": 6, "gpu": 0}
+    for worker in world.workers.values():
+        worker.run_s = 20.0
+    world.submit("n0", job(1, hands=4))
+    world.until(lambda: world.running("run-000001") == 4, 40)
+    name = holder_of(world, "run-000001")
+    owner = world.owners[name]
+    run, shard = owner.jobs["run-000001"], owner.held[name]
+    lease = owner.leadership.lease
+    assert lease is not None
+    world.state.end(lease)
+    world.until(lambda: name in owner.held and owner.held[name] is not shard, 20)
+    world.until(lambda: len(run.placed) > 0, 5)
+    # The answer, or that there is none, comes when the term has changed already.
+    index, placement = next(iter(run.placed.items()))
+    run.releasing = 1 << index
+    owner.claims.retries.append((run, shard, dict(run.claims), 1 << index))
+    worker = world.workers[placement.machine.name]
+    worker.exit(placement.task, placement.attempt, "error")
+    world.until(lambda: standing(world, "run-000001") == "done", 60)
+
+
+def standing(w: World, job_id: str) -> str:
+    return w.user("n0", "GET", f"/api/jobs/{job_id}")[1]["standing"]
