--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -51,6 +51,8 @@
 PASS_MOST_S = 0.5
 PASS_JOBS = 30
 TICK_S = 0.25
+# The owner is called at every tick; a longer time without a call is a gap in its own time.
+GAP_S = 8 * TICK_S
 
 
 class Owner:
@@ -61,6 +63,8 @@
         self.random = random
         self.now = now
         self.started_at = now
+        # Since when this process has been running without a stop.
+        self.present_since = now
         self._wall_offset = wall - now
         self.effects: list[Effect] = []
         self.pending: dict[int, Done] = {}
@@ -118,6 +122,14 @@
 
     def handle(self, commands: list[Command], now: float, wall: float) -> list[Effect]:
         """Take in a batch of commands; what is to be done about them."""
+        if now - self.now > GAP_S:
+            # It stood still while its clocks ran on, or was starved. Authority is judged by the
+            # time after the gap anyway; what peers and workers said, or did not, is not current.
+            log.info("stood still seconds=%.1f", now - self.now)
+            self.present_since = now
+            self.hints.clear()
+            self.hungry.clear()
+            self.leadership.promises.clear()
         self.now = now
         self._wall_offset = wall - now
         for command in commands:
@@ -212,9 +224,31 @@
                 self.users.cancel(job_id, ask.exchange)
             else:
                 self.users.status(job_id, ask.exchange)
+        elif path == "/cluster" or path.startswith("/explain/"):
+            self._view(path, ask)
         else:
             self.effects.append(Reply(ask.exchange, 404, Refusal("no such path")))
 
+    def _view(self, path: str, ask: Asked) -> None:
+        """Read-only questions beside PROTOCOL, answered from memory."""
+        # Hardly ever asked, so not loaded before.
+        from sagecove.coordination import explain
+
+        if ask.method != "GET":
+            self.effects.append(Reply(ask.exchange, 405, Refusal("GET only")))
+        elif not self.mirror.loaded:
+            self.effects.append(Reply(ask.exchange, 503, Refusal("not ready"), 1.0))
+        elif path == "/cluster":
+            self.effects.append(Reply(ask.exchange, 200, explain.cluster(self)))
+        elif (job := self.jobs.get(path[len("/explain/") :])) is not None:
+            self.effects.append(Reply(ask.exchange, 200, explain.explain(self, job)))
+        else:
+            self.effects.append(
+                Reply(
+                    ask.exchange, 404, Refusal("no job under way has this id; ask for its status")
+                )
+            )
+
     def _ready(self, ask: Asked) -> None:
         if ask.method not in ("GET", "HEAD"):
             self.effects.append(Reply(ask.exchange, 405, Refusal("GET only")))
@@ -229,6 +263,9 @@
             return False
         if self.now - self.synced_at < 3.0:
             return True
+        if self.synced_at < self.present_since and not self.hints:
+            # It stood still, and has heard of nobody since.
+            return False
         # In an outage of the state service everybody is refused: being taken out of balance would
         # only delay the return. Refused alone, this node lets the others answer.
         return not any(self.now - at < 3.0 and hint.connected for at, hint in self.hints.values())
@@ -443,6 +480,8 @@
             job = self.jobs[job_id] = JobRun(event.value, event.stamp)
             self.jobs_changed = True
             job.seen_at = self.now
+            # Or all controllers would reach for it in the same moment, and all but one in vain.
+            job.claim_after = self.now + self.random.uniform(0.0, self.claims.poll_s / 6)
             self._note_arrival(job)
         else:
             job.update(event.value, event.stamp)
@@ -613,7 +652,6 @@
                     # A machine that is deleted costs 60 s at least: it may as well wait as long.
                     drained = now < machine.drain_until and now - machine.idle_since > 2.0
                     if (drained or now - machine.idle_since > patience) and age > 55.0:
-                        log.info("idle machine returned machine=%s", machine.name)
                         self.workers.leave(machine, "idle")
 
     def _patience(self, kind: MachineType) -> float:
