--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -218,6 +218,8 @@
     # inc-8d24: its outcome unknown, a release was to be repeated, the shard was lost and regained,
     # and the tasks were kept back for it for good: the job never ended.
     world.cloud.capacity = {"small": 6, "gpu": 0}
+    for worker in world.workers.values():
+        worker.run_s = 20.0
     world.submit("n0", job(1, hands=4))
     world.until(lambda: world.running("run-000001") == 4, 40)
     name = holder_of(world, "run-000001")
@@ -227,6 +229,7 @@
     assert lease is not None
     world.state.end(lease)
     world.until(lambda: name in owner.held and owner.held[name] is not shard, 20)
+    world.until(lambda: len(run.placed) > 0, 5)
     # The answer, or that there is none, comes when the term has changed already.
     index, placement = next(iter(run.placed.items()))
     run.releasing = 1 << index
@@ -238,3 +241,62 @@
 
 def standing(w: World, job_id: str) -> str:
     return w.user("n0", "GET", f"/api/jobs/{job_id}")[1]["standing"]
+
+
+def test_a_machine_that_never_comes_up_is_told_by_what_others_took(world: World) -> None:
+    # Five times the nominal boot and more was waited for each, and paid for.
+    owner = world.owners["n0"]
+    kind = owner.types["small"]
+    assert owner.boot_most_s(kind) == 80.0
+    for name in ["vm-000000", "vm-000001"] * 4:
+        machine = owner.machines[name]
+        machine.record.shard, machine.record.at = "n0", owner.wall() - 0.5
+        owner.came_up(machine)
+    assert owner.boot_most_s(kind) == 25.0
+    # A slow one is no reason to give up the next that is slow.
+    machine.record.at = owner.wall() - 30.0
+    owner.held["n0"].since = owner.now - 40.0
+    owner.came_up(machine)
+    assert 59.0 < owner.boot_most_s(kind) < 61.0
+    # What was rented before this holder's time says nothing.
+    machine.record.at = owner.wall() - 45.0
+    owner.came_up(machine)
+    assert owner.boot_most_s(kind) < 61.0
+
+
+def test_many_machines_returned_at_once_do_not_fill_the_queue_of_transactions() -> None:
+    # While the removal of their records waited, they were deleted again at every tick, and each
+    # time the removal was queued once more: claims waited behind hundreds of these for a minute.
+    w = World(nodes=1)
+    for i in range(60):
+        w.cloud.start("small", "ab"[i % 2], False)
+    w.run(3)
+    sizes = {s: len(m) for s, m in w.owners["n0"].by_shard.items()}
+    assert sizes == {"n0": 60}
+    owner = w.owners["n0"]
+    drops: list[str] = []
+
+    def slowly(_: str, body: dict[str, Any]) -> str | None:
+        names = [c["drop"] for c in body["then"] if "s/machine/" in c.get("drop", "")]
+        drops.extend(names)
+        return "throttled" if names and w.now < 1060 else None
+
+    w.state.hook = slowly
+    longest = 0
+    for _ in range(60):
+        w.run(1)
+        longest = max(longest, len(owner.store.waiting))
+    assert len(drops) > 20
+    assert longest < 100
+    w.until(lambda: len(owner.machines) < 10, 120)
+
+
+def test_machines_found_in_the_list_are_shared_out_among_the_shards() -> None:
+    # All that one listing told of went to the shard that had the fewest before it.
+    w = World()
+    w.run(0.5)
+    for i in range(30):
+        w.cloud.start("small", "ab"[i % 2], False, 60.0)
+    w.run(20)
+    sizes = {s: len(m) for s, m in w.owners["n0"].by_shard.items()}
+    assert sizes == {"n0": 10, "n1": 10, "n2": 10}
