--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,17 +4,13 @@
 
 import pytest
 
-from tests.world import World, job
+from tests.world import World, job, with_machines
 
 
 @pytest.fixture
 def world() -> World:
     """Three controllers that are up, with six small machines."""
-    w = World()
-    for i in range(6):
-        w.cloud.start("small", "ab"[i % 2], False)
-    w.run(3)
-    return w
+    return with_machines(6)
 
 
 def starts_of(w: World, job_id: str) -> int:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -7,17 +7,13 @@
 
 from sagecove.coordination.effects import Answered, Asked, Call, Reply
 from sagecove.storage.store import Outcome, Result
-from tests.world import World, job
+from tests.world import World, job, with_machines
 
 
 @pytest.fixture
 def world() -> World:
     """Three controllers that are up, with four small machines."""
-    w = World()
-    for i in range(4):
-        w.cloud.start("small", "ab"[i % 2], False)
-    w.run(3)
-    return w
+    return with_machines(4)
 
 
 def standing(w: World, node: str, job_id: str) -> str:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -106,3 +106,20 @@
     wire.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
     wire.connectionLost(Failure(ConnectionDone()))
     assert link.got == [(None, b""), (None, b"")]
+
+
+def test_a_process_that_stood_still_looks_for_answers_before_it_gives_up() -> None:
+    # Timers run before sockets are read: after a stop all that had been asked was thrown away,
+    # although the answers were there.
+    reactor = MemoryReactorClock()
+    client = Client(reactor, "127.0.0.1", 1, 1, 2.0)
+    given_up: list[int | None] = []
+    client.request(b"GET", "/", None, 3.0, lambda status, body: given_up.append(status))
+    reactor.advance(30.0)
+    assert not given_up
+    reactor.advance(0.5)
+    assert given_up == [None]
+    # In its usual time it gives up when it should.
+    client.request(b"GET", "/", None, 3.0, lambda status, body: given_up.append(status))
+    reactor.advance(3.1)
+    assert given_up == [None, None]
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -6,17 +6,13 @@
 import pytest
 
 from sagecove.coordination.effects import Asked, Reply
-from tests.world import World, job
+from tests.world import World, job, with_machines
 
 
 @pytest.fixture
 def world() -> World:
-    """Three controllers that are up, with six small machines, two in each shard."""
-    w = World()
-    for i in range(6):
-        w.cloud.start("small", "ab"[i % 2], False)
-    w.run(3)
-    return w
+    """Three controllers that are up, with six small machines."""
+    return with_machines(6)
 
 
 def holder_of(w: World, job_id: str) -> str:
--- a/tests/world.py
+++ b/tests/world.py
@@ -681,3 +681,12 @@
             for t in w.live()
             if t.split("/")[0] == job_id
         )
+
+
+def with_machines(count: int) -> World:
+    """Three controllers that are up, with small machines in two zones."""
+    world = World()
+    for i in range(count):
+        world.cloud.start("small", "ab"[i % 2], False)
+    world.run(3)
+    return world
