--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -7,7 +7,7 @@
 
 from sagecove.coordination.effects import Answered, Asked, Call, Reply
 from sagecove.storage.store import Outcome, Result
-from tests.world import World, job, with_machines
+from tests.world import World, job, standing, with_machines
 
 
 @pytest.fixture
@@ -16,11 +16,6 @@
     return with_machines(4)
 
 
-def standing(w: World, node: str, job_id: str) -> str:
-    status, body = w.user(node, "GET", f"/api/jobs/{job_id}")
-    return body["standing"] if status == 200 else str(status)
-
-
 def test_array_runs_to_done_and_every_node_says_so(world: World) -> None:
     assert world.submit("n0", job(1, hands=6))[0] == 201
     world.until(lambda: standing(world, "n1", "run-000001") == "done", 60)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -6,7 +6,7 @@
 import pytest
 
 from sagecove.coordination.effects import Asked, Reply
-from tests.world import World, job, with_machines
+from tests.world import World, job, standing, with_machines
 
 
 @pytest.fixture
@@ -232,11 +232,7 @@
     owner.claims.retries.append((run, shard, dict(run.claims), 1 << index))
     worker = world.workers[placement.machine.name]
     worker.exit(placement.task, placement.attempt, "error")
-    world.until(lambda: standing(world, "run-000001") == "done", 60)
-
-
-def standing(w: World, job_id: str) -> str:
-    return w.user("n0", "GET", f"/api/jobs/{job_id}")[1]["standing"]
+    world.until(lambda: standing(world, "n0", "run-000001") == "done", 60)
 
 
 def test_a_machine_that_never_comes_up_is_told_by_what_others_took(world: World) -> None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -690,3 +690,9 @@
         world.cloud.start("small", "ab"[i % 2], False)
     world.run(3)
     return world
+
+
+def standing(w: World, node: str, job_id: str) -> str:
+    """What a node tells of a job: its state, or the status of a refusal."""
+    status, body = w.user(node, "GET", f"/api/jobs/{job_id}")
+    return body["standing"] if status == 200 else str(status)
