sagecove dev: a whole service on one machine, with a demonstration

Need: on a fresh checkout nothing could be started, for want of a settings file, a state service, a cloud and workers. The stand-ins of the stories move to sagecove/lab (one model of each outside system) and are also served on loopback, with real controller processes between them; faults added: 429 storms, slow and late answers, a cloud in trouble. PROTOCOL's rules are checked on what passes by, in code of their own, each of them broken once by hand in a story.

--- a/sagecove/cli.py
+++ b/sagecove/cli.py
@@ -24,6 +24,20 @@
     logging.basicConfig(stream=sys.stderr, level=level, format="%(levelname)s %(name)s %(message)s")
 
 
+def _count(text: str) -> int:
+    value = int(text)
+    if not 1 <= value <= 50:
+        raise argparse.ArgumentTypeError("must be from 1 to 50")
+    return value
+
+
+def _scale(text: str) -> float:
+    value = float(text)
+    if not 0.1 <= value <= 1000:
+        raise argparse.ArgumentTypeError("must be from 0.1 to 1000")
+    return value
+
+
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="sagecove", description="A cluster scheduler whose controllers compete for work."
@@ -32,6 +46,31 @@
     commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
     serve = commands.add_parser("serve", help="run a controller until it is killed")
     serve.add_argument("--config", required=True, metavar="FILE", help="the settings file")
+    serve.add_argument("--features", metavar="FILE", help="what to turn on beyond the core (TOML)")
+    dev = commands.add_parser(
+        "dev",
+        help="run a whole service on this machine, with stand-ins",
+        description="Runs controllers and stand-ins of the state service, the cloud and the workers"
+        " on 127.0.0.1, until Ctrl-C.",
+    )
+    dev.add_argument("--controllers", type=_count, default=3, metavar="N", help="default: 3")
+    dev.add_argument(
+        "--machines", type=_count, default=4, metavar="N", help="up at the start (default: 4)"
+    )
+    dev.add_argument(
+        "--time-scale",
+        type=_scale,
+        default=1.0,
+        metavar="X",
+        help="boots and tasks take an Xth of their time (default: 1)",
+    )
+    dev.add_argument(
+        "--port", type=int, default=8080, help="where users are served; 0: any (default: 8080)"
+    )
+    dev.add_argument("--features", metavar="FILE", default="", help="what to turn on (TOML)")
+    dev.add_argument(
+        "--demo", action="store_true", help="submit examples, kill a controller, watch all end"
+    )
     check = commands.add_parser("check-config", help="check a settings file")
     check.add_argument("config", metavar="FILE", help="the settings file")
 
@@ -159,6 +198,12 @@
 def main(argv: list[str] | None = None) -> int:
     """Run a command; its exit status: 0 success, 1 refused or failed, 2 usage or settings."""
     args = _parser().parse_args(argv)
+    if args.command == "dev":
+        from sagecove.lab.dev import run
+
+        return run(
+            args.controllers, args.machines, args.time_scale, args.port, args.features, args.demo
+        )
     if args.command not in ("serve", "check-config"):
         try:
             answer = _command(args)
--- /dev/null
+++ b/sagecove/lab/rules.py
@@ -0,0 +1,118 @@
+"""PROTOCOL's rules as the stand-ins can see them, checked at every start and as time goes by.
+
+Shares no code with the controllers. A breach raises `RuleBroken`, which names the rule first.
+"""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from sagecove.lab.deployment import CANCEL_S, LEASE_S, TEAMS
+from sagecove.lab.models import FakeWorker
+
+
+class RuleBroken(AssertionError):
+    """A rule of PROTOCOL was broken: its name, and by what."""
+
+
+class Rules:
+    """What has been submitted, cancelled, started and completed, and whether that was in order."""
+
+    now: float
+    random: Random
+
+    def __init__(self) -> None:
+        self.workers: dict[str, FakeWorker] = {}
+        # Submissions by job id, in wire names: what workers fetch.
+        self.specs: dict[str, dict[str, Any]] = {}
+        # When users were told that a job is cancelled.
+        self.cancelled: dict[str, float] = {}
+        self.completed: set[str] = set()
+        self.broken: set[str] = set()
+        # What users have been told of jobs: the last state, and tasks that completed.
+        self.told: dict[str, str] = {}
+        # (time, task, machine).
+        self.starts: list[tuple[float, str, str]] = []
+
+    def describe(self, job_id: str, done: Callable[[dict[str, Any] | None], None]) -> None:
+        """A job's description, as workers fetch it: what its user has uploaded."""
+        done(self.specs.get(job_id))
+
+    def started(self, worker: FakeWorker, task: str) -> None:
+        """A task starts on a machine."""
+        self.starts.append((self.now, task, worker.name))
+        for other in self.workers.values():
+            other.check_lease()
+            if other is not worker and task in other.live():
+                raise RuleBroken(f"ran_twice {task} on {worker.name} and {other.name}")
+        job_id = task.split("/")[0]
+        spec = self.specs[job_id]
+        info = worker.info
+        if (
+            (spec["breeds"] is not None and info["breed"] not in spec["breeds"])
+            or spec["range"] not in (None, info["range"])
+            or (info["borrowed"] and not spec["borrowed"])
+        ):
+            raise RuleBroken(f"wrong_place {task} on {worker.name}")
+        zones = [
+            w.info["range"]
+            for w in self.workers.values()
+            for t in w.live()
+            if t.split("/")[0] == job_id and t != task
+        ] + [info["range"]]
+        if spec["samePlace"] and len(set(zones)) > 1:
+            raise RuleBroken(f"wrong_place {task}: zones {zones}")
+        if spec["scatter"] and zones.count(info["range"]) > (spec["hands"] + 1) // 2:
+            raise RuleBroken(f"wrong_place {task}: zones {zones}")
+        self._check_cancelled(job_id)
+
+    def _check_cancelled(self, job_id: str) -> None:
+        if job_id in self.cancelled and self.now - self.cancelled[job_id] > CANCEL_S:
+            raise RuleBroken(f"ran_cancelled {job_id}")
+
+    def check(self) -> None:
+        """Limits of teams, and tasks of cancelled jobs, at this moment."""
+        used: dict[str, float] = {}
+        for worker in self.workers.values():
+            if self.now - worker.lease_from > LEASE_S:
+                continue
+            for task in worker.live():
+                job_id = task.split("/")[0]
+                spec = self.specs[job_id]
+                used[spec["outfit"]] = used.get(spec["outfit"], 0.0) + spec["vcpus"]
+                self._check_cancelled(job_id)
+        for team in TEAMS:
+            if team["cpus_max"] and used.get(team["name"], 0.0) > team["cpus_max"]:
+                raise RuleBroken(f"quota {team['name']} uses {used[team['name']]} CPUs")
+
+    def answered(self, job_id: str, status: int, answer: Any, *, submitted: bool) -> None:
+        """A user was given an answer about one job."""
+        before = self.told.get(job_id)
+        if status == 404 and before is not None:
+            raise RuleBroken(f"forgotten {job_id} was {before}")
+        if submitted and status in (400, 422) and before is not None:
+            raise RuleBroken(f"forgotten {job_id} was {before}, then refused")
+        if status not in (200, 201) or not isinstance(answer, dict):
+            return
+        if job_id not in self.specs:
+            raise RuleBroken(f"invented {job_id}")
+        state = answer["standing"]
+        if before in ("done", "aborted") and state != before:
+            raise RuleBroken(f"went_back {job_id} from {before} to {state}")
+        if state == "done":
+            every = {f"{job_id}/{n}" for n in range(self.specs[job_id]["hands"])}
+            if every - self.completed:
+                raise RuleBroken(f"not_done {job_id} lacks {len(every - self.completed)} tasks")
+        self.told[job_id] = state
+        if state == "aborted":
+            self.cancelled.setdefault(job_id, self.now)
+
+    def running(self, job_id: str) -> int:
+        """How many of a job's tasks are on machines."""
+        return sum(
+            1
+            for w in self.workers.values()
+            if self.now - w.lease_from <= LEASE_S
+            for t in w.live()
+            if t.split("/")[0] == job_id
+        )
--- /dev/null
+++ b/sagecove/lab/world.py
@@ -0,0 +1,201 @@
+"""Controllers and stand-ins on a fake clock, advanced together; the rules are checked as they go.
+
+The controllers are the real owners, without sockets. Everything is seeded, so each story plays the
+same every time.
+"""
+
+import heapq
+import itertools
+import json
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import msgspec
+
+from sagecove.coordination.effects import Answered, Asked, Call, Reply
+from sagecove.coordination.owner import Owner
+from sagecove.lab.deployment import settings
+from sagecove.lab.models import Answer, FakeCloud, FakeState, FakeWorker
+from sagecove.lab.rules import Rules
+
+
+class World(Rules):
+    """Controllers and stand-ins, advanced together; the rules are checked at every start."""
+
+    def __init__(self, nodes: int = 3, seed: int = 1) -> None:
+        super().__init__()
+        self.now = 1000.0
+        self.random = Random(seed)
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.order = itertools.count()
+        self.owners: dict[str, Owner] = {}
+        self.inbox: dict[str, list[Any]] = {}
+        self.state = FakeState(self)
+        self.cloud = FakeCloud(self)
+        # Controllers that workers cannot reach, nor they the workers.
+        self.deaf: set[str] = set()
+        self.cut_links: set[tuple[str, str]] = set()
+        # Controllers that stand still, and until when; the second kind has decided already, and
+        # what it decided leaves only afterwards.
+        self.still: dict[str, float] = {}
+        self.decided: dict[str, float] = {}
+        self.nodes = nodes
+        for i in range(nodes):
+            self.boot_node(i)
+
+    # -- time -----------------------------------------------------------------------------------
+
+    def later(self, delay: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self.events, (self.now + delay, next(self.order), action))
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now = round(self.now + 0.02, 6)
+            while self.events and self.events[0][0] <= self.now:
+                heapq.heappop(self.events)[2]()
+            self.state.tick()
+            for name in list(self.owners):
+                self.turn(name)
+            acting = [s for o in self.owners.values() for s in o.acting_shards(self.now)]
+            assert len(acting) == len(set(acting)), f"two holders act for a shard: {acting}"
+            self.check()
+
+    def until(self, condition: Callable[[], bool], most: float) -> float:
+        begun = self.now
+        while not condition():
+            assert self.now - begun < most, "it took too long"
+            self.run(0.1)
+        return self.now - begun
+
+    def controllers(self) -> list[str]:
+        return sorted(self.owners)
+
+    # -- controllers ----------------------------------------------------------------------------
+
+    def boot_node(self, number: int) -> None:
+        name = f"n{number}"
+        self.owners[name] = Owner(
+            settings(number, self.nodes), Random(number + 7), self.now, self.now
+        )
+        self.inbox[name] = []
+
+    def kill(self, name: str) -> None:
+        del self.owners[name]
+
+    def turn(self, name: str) -> None:
+        owner = self.owners[name]
+        if self.now < self.still.get(name, 0.0):
+            return
+        batch, self.inbox[name] = self.inbox[name], []
+        if not batch and owner.wait() > 0.02 and self.now - owner.now < owner.wait():
+            return
+        effects = owner.handle(batch, self.now, self.now)
+        if (until := self.decided.pop(name, None)) is not None and effects:
+            self.still[name] = until
+            self.later(until - self.now, lambda: self.emit(name, owner, effects))
+        else:
+            self.emit(name, owner, effects)
+
+    def emit(self, name: str, owner: Owner, effects: list[Any]) -> None:
+        if self.owners.get(name) is not owner:
+            return
+        for effect in effects:
+            if isinstance(effect, Reply):
+                effect.exchange(effect.status, msgspec.json.encode(effect.body))
+            else:
+                self.deliver(name, owner, effect)
+
+    def deliver(self, name: str, owner: Owner, call: Call) -> None:
+        raw = None if call.body is None else json.loads(msgspec.json.encode(call.body))
+        answered = [False]
+
+        def answer(status: int | None, body: bytes) -> None:
+            if not answered[0] and self.owners.get(name) is owner:
+                answered[0] = True
+                self.inbox[name].append(Answered(call.token, status, body))
+
+        self.later(call.timeout, lambda: answer(None, b""))
+        if (name, call.target) in self.cut_links:
+            return
+        if call.target == "state":
+            self.later(0.005, lambda: self.state.request(name, call.method, call.path, raw, answer))
+        elif call.target == "cloud":
+            self.later(0.05, lambda: self.cloud.request(call.method, call.path, raw, answer))
+        else:
+            if name in self.deaf and call.target.startswith("10.9."):
+                return
+            self.later(0.002, lambda: self._deliver_addr(call, raw, answer))
+
+    def _deliver_addr(self, call: Call, raw: Any, answer: Answer) -> None:
+        for worker in self.workers.values():
+            if worker.info["addr"] == call.target and not worker.dead:
+                if worker.cut or worker.cut_direct:
+                    worker.held.append(raw)
+                else:
+                    answer(*worker.commands(raw))
+                return
+        for name in self.owners:
+            if f"10.0.0.{name[1:]}:81" == call.target:
+                body = msgspec.json.encode(call.body)
+                self.inbox[name].append(Asked(call.method, call.path, body, answer, True))
+
+    # -- users and workers ----------------------------------------------------------------------
+
+    def ask(
+        self,
+        node: str,
+        method: str,
+        path: str,
+        body: Any,
+        answer: Answer,
+    ) -> None:
+        if node in self.owners and not (path == "/hello" and node in self.deaf):
+            raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+            self.inbox[node].append(Asked(method, path, raw, answer))
+
+    def user(self, node: str, method: str, path: str, body: Any = b"") -> tuple[int, Any]:
+        """A user's request, waited for."""
+        got: list[tuple[int, Any]] = []
+        self.ask(node, method, path, body, lambda s, b: got.append((s or 0, json.loads(b))))
+        begun = self.now
+        while not got and self.now - begun < 6:
+            self.run(0.02)
+        if got and path.startswith("/api/jobs"):
+            self.answered(self._about(path, body), *got[0], submitted=path == "/api/jobs")
+        return got[0] if got else (0, None)
+
+    @staticmethod
+    def _about(path: str, body: Any) -> str:
+        if path == "/api/jobs":
+            return str(body.get("nameId")) if isinstance(body, dict) else ""
+        return path.split("/")[3]
+
+    def spec(self, spec: dict[str, Any]) -> dict[str, Any]:
+        """Make a submission known to the workers."""
+        self.specs[spec["nameId"]] = spec
+        return spec
+
+    def submit(self, node: str, spec: dict[str, Any]) -> tuple[int, Any]:
+        return self.user(node, "POST", "/api/jobs", self.spec(spec))
+
+    def boot(self, name: str) -> None:
+        if name in self.cloud.machines:
+            self.cloud.machines[name]["standing"] = "running"
+            self.workers[name] = FakeWorker(self, name, self.cloud.machines[name])
+
+
+def with_machines(count: int) -> World:
+    """Three controllers that are up, with small machines in two zones."""
+    world = World()
+    for i in range(count):
+        world.cloud.start("small", "ab"[i % 2], False)
+    world.run(3)
+    return world
+
+
+def standing(w: World, node: str, job_id: str) -> str:
+    """What a node tells of a job: its state, or the status of a refusal."""
+    status, body = w.user(node, "GET", f"/api/jobs/{job_id}")
+    return body["standing"] if status == 200 else str(status)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,7 +10,8 @@
 import pytest
 
 from sagecove.cli import main
-from tests.world import World, job
+from sagecove.lab.deployment import job
+from sagecove.lab.world import World
 
 ANSWERS: dict[str, tuple[int, Any]] = {}
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -8,7 +8,7 @@
 import pytest
 
 from sagecove.cli import main
-from tests.world import settings
+from sagecove.lab.deployment import settings
 
 
 def write(tmp_path: Path, change: Any = None) -> str:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from tests.world import World, job, with_machines
+from sagecove.lab.deployment import job
+from sagecove.lab.world import World, with_machines
 
 
 @pytest.fixture
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,92 @@
+"""`sagecove dev` as a newcomer runs it, and the stand-ins' own rules and faults."""
+
+import subprocess
+import sys
+from typing import Any
+
+import pytest
+
+from sagecove.cli import main
+from sagecove.lab.deployment import job
+from sagecove.lab.rules import RuleBroken
+from sagecove.lab.world import World, standing, with_machines
+
+
+def dev(*args: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "sagecove", "dev", "--port", "0", *args],
+        capture_output=True,
+        text=True,
+        timeout=150,
+        check=False,
+    )
+
+
+def test_the_demonstration_ends_well_though_a_controller_is_killed() -> None:
+    ran = dev("--demo", "--time-scale", "8")
+    assert ran.returncode == 0, ran.stdout + ran.stderr
+    assert "killing controller n2" in ran.stdout and "back in 3 s" in ran.stdout
+    assert "run-demo-service: aborted" in ran.stdout
+    assert ran.stdout.splitlines()[-1].endswith("all jobs ended as they should")
+
+
+def test_what_makes_no_sense_is_refused_by_name(capsys: Any) -> None:
+    with pytest.raises(SystemExit) as stop:
+        main(["dev", "--controllers", "0"])
+    assert stop.value.code == 2
+    assert "--controllers: must be from 1 to 50" in capsys.readouterr().err
+
+
+def test_the_checker_knows_a_broken_rule_when_it_sees_one() -> None:
+    # A checker that cannot fail is worth nothing: each rule is broken once, by hand.
+    w = with_machines(2)
+    first, second = w.workers.values()
+    for number in range(1, 6):
+        w.spec(job(number, hands=1))
+    order = {"verb": "launch", "hand": "run-000001/0", "try": 1}
+    first.execute([order])
+    with pytest.raises(RuleBroken, match="ran_twice"):
+        second.execute([order])
+    w.specs["run-000002"]["breeds"] = ["gpu"]
+    with pytest.raises(RuleBroken, match="wrong_place"):
+        first.execute([{**order, "hand": "run-000002/0"}])
+    w.cancelled["run-000003"] = w.now - 100
+    with pytest.raises(RuleBroken, match="ran_cancelled"):
+        first.execute([{**order, "hand": "run-000003/0"}])
+    w.answered("run-000004", 201, {"standing": "pending"}, submitted=True)
+    with pytest.raises(RuleBroken, match="forgotten"):
+        w.answered("run-000004", 404, {}, submitted=False)
+    with pytest.raises(RuleBroken, match="not_done"):
+        w.answered("run-000004", 200, {"standing": "done"}, submitted=False)
+    w.answered("run-000005", 200, {"standing": "aborted"}, submitted=False)
+    with pytest.raises(RuleBroken, match="went_back"):
+        w.answered("run-000005", 200, {"standing": "running"}, submitted=False)
+    with pytest.raises(RuleBroken, match="invented"):
+        w.answered("run-000099", 200, {"standing": "pending"}, submitted=False)
+
+
+def test_a_storm_of_429_and_answers_after_the_client_gave_up_lose_nothing() -> None:
+    w = with_machines(2)
+    w.state.storm = True
+    status, _ = w.submit("n0", job(1, hands=2))
+    assert status == 503
+    w.state.storm = False
+    w.run(2)
+    # Executed, but told of too late: the submission is there when it is repeated.
+    w.state.slow_s = 4.0
+    assert w.submit("n0", job(1, hands=2))[0] in (0, 503)
+    w.state.slow_s = 0.0
+    w.run(6)
+    assert w.submit("n1", job(1, hands=2))[0] in (200, 201)
+    w.until(lambda: standing(w, "n1", "run-000001") == "done", 60)
+
+
+def test_a_cloud_in_trouble_rents_nothing_until_it_is_over() -> None:
+    w = World(nodes=1)
+    w.run(3)
+    w.cloud.refuses = True
+    w.submit("n0", job(1, hands=2))
+    w.run(10)
+    assert not w.cloud.requests
+    w.cloud.refuses = False
+    w.until(lambda: standing(w, "n0", "run-000001") == "done", 60)
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -9,12 +9,13 @@
 from sagecove.coordination.model import JobRun, Machine
 from sagecove.coordination.placement import dearness, plan
 from sagecove.coordination.provision import Coming, Fleet
+from sagecove.lab.deployment import TYPES, job
+from sagecove.lab.world import World
 from sagecove.protocol import state as wire
 from sagecove.protocol.cloud import MachineType
 from sagecove.protocol.users import Job
 from sagecove.storage.records import JobRecord, MachineRecord
 from sagecove.storage.store import Outcome, Result, Store
-from tests.world import TYPES, World, job
 
 KINDS = {t["sku"]: msgspec.convert(t, MachineType) for t in TYPES}
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -6,8 +6,9 @@
 import pytest
 
 from sagecove.coordination.effects import Answered, Asked, Call, Reply
+from sagecove.lab.deployment import job
+from sagecove.lab.world import World, standing, with_machines
 from sagecove.storage.store import Outcome, Result
-from tests.world import World, job, standing, with_machines
 
 
 @pytest.fixture
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -6,7 +6,8 @@
 import pytest
 
 from sagecove.coordination.effects import Asked, Reply
-from tests.world import World, job, standing, with_machines
+from sagecove.lab.deployment import job
+from sagecove.lab.world import World, standing, with_machines
 
 
 @pytest.fixture
