--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -99,7 +99,7 @@
     def run(self, now: float) -> None:
         """One pass."""
         owner = self.owner
-        shards = [owner.held[s] for s in owner.acting_shards(now)]
+        shards = [owner.held[s] for s in owner.shards.acting_shards(now)]
         if not shards:
             return
         retries, self.retries = self.retries, []
@@ -119,7 +119,7 @@
             self.make_at = now + self.poll_s / 4
         for shard in shards:
             promised: Room = {}
-            every = [m for m in owner.shard_machines(shard.name) if m.open]
+            every = [m for m in owner.shards.shard_machines(shard.name) if m.open]
             # Machines to be returned take no more tasks of arrays.
             steady = [m for m in every if now >= m.drain_until]
             self.futile = Futile()
@@ -159,9 +159,9 @@
                 or any(job.placeable(name) for name in names)
             ):
                 if job.array:
-                    owner.rank(job)
+                    owner.learning.rank(job)
                 elif job.service:
-                    owner.settle(job)
+                    owner.learning.settle(job)
                 found.append(job)
             else:
                 job.lacking_since = None
@@ -222,7 +222,7 @@
             owner.dirty = True
             if result.outcome is Outcome.CONFLICT:
                 job.claim_after = owner.now + owner.random.uniform(0.05, 0.3)
-                owner.want_sync()
+                owner.sync.want_sync()
             elif result.outcome is not Outcome.DONE:
                 job.claim_after = owner.now + owner.random.uniform(0.3, 1.0)
 
@@ -356,7 +356,7 @@
             return
         victims = [
             p
-            for m in owner.shard_machines(shard.name)
+            for m in owner.shards.shard_machines(shard.name)
             for p in m.tasks.values()
             if p.live
             and p.halt is None
@@ -570,7 +570,7 @@
                 self.retries.append((job, shard, claims, bits))
                 return
             job.releasing &= ~bits
-            owner.want_sync()
+            owner.sync.want_sync()
 
         conditions = [(JOB + job.id, stamp), (HOLDER + shard.name, shard.term)]
         put = wire.Put(JOB + job.id, job.with_sets(job.fin, claims))
@@ -581,7 +581,7 @@
         Estimates may be far too low: what has run for longer than that does not count."""
         if not job.array or job.blamed or not job.placed:
             return 0
-        run = job.spec.estimate_s * self.owner.class_run.get(job.spec.klass, 1.0)
+        run = job.spec.estimate_s * self.owner.learning.class_run.get(job.spec.klass, 1.0)
         share = min(1.0, self.ahead_s / max(run, self.poll_s))
         if len(job.placed) * share < 1:
             return 0
@@ -655,7 +655,7 @@
         or it might never find its number."""
         owner = self.owner
         boot = max((t.boot_s for t in owner.types.values()), default=0.0)
-        if owner.now - job.seen_at < 1.5 * boot or owner.gang_home(job) != shard.name:
+        if owner.now - job.seen_at < 1.5 * boot or owner.shards.gang_home(job) != shard.name:
             return
         for machine in machines:
             if count <= 0:
@@ -712,7 +712,7 @@
             if result.outcome is Outcome.DONE:
                 return
             owner.count("claim_conflicts")
-            owner.want_sync()
+            owner.sync.want_sync()
             job.claim_after = owner.now + owner.random.uniform(0.1, 1.0) * self.poll_s
 
         conditions += [(JOB + job.id, job.stamp), (HOLDER + shard.name, shard.term)]
--- a/sagecove/coordination/explain.py
+++ b/sagecove/coordination/explain.py
@@ -30,7 +30,7 @@
         job.spec.priority,
         job.spec.tasks,
         (job.fin | job.fresh).bit_count(),
-        running + owner.running_elsewhere(job.id),
+        running + owner.peers.running_elsewhere(job.id),
         job.within,
         owner.failures.suspect(job),
         {shard: n for shard in job.claims if (n := job.claimed(shard).bit_count())},
@@ -52,7 +52,7 @@
         if not claimed:
             continue
         if shard not in owner.held:
-            holder = owner.holder_of(shard)
+            holder = owner.shards.holder_of(shard)
             if holder is None:
                 out.append(f"{claimed} tasks: shard {shard} has no holder at the moment")
             else:
@@ -90,7 +90,7 @@
         out.append(f"{count} tasks wait for team {spec.team}'s limit")
     fitting = {t.name for t in owner.types.values() if type_allowed(spec, t)}
     coming = sum(
-        m.record.type in fitting and not m.record.leaving and owner.arrival(m) == "coming"
+        m.record.type in fitting and not m.record.leaving and owner.peers.arrival(m) == "coming"
         for m in owner.machines.values()
     )
     mine = precedence(job)
@@ -138,7 +138,7 @@
         shards.append(
             ShardView(
                 name,
-                owner.holder_of(name),
+                owner.shards.holder_of(name),
                 owner.mirror.stamp(HOLDER + name),
                 len(owner.by_shard.get(name, {})),
                 round(now - held.since, 1) if held is not None else None,
@@ -151,7 +151,7 @@
             state = f"leaving: {machine.record.leaving}"
         elif machine.sick:
             state = "faulty"
-        elif owner.arrival(machine) == "overdue":
+        elif owner.peers.arrival(machine) == "overdue":
             state = "late"
         if state:
             record = machine.record
@@ -160,7 +160,7 @@
             )
     return Cluster(
         settings.node,
-        owner.connected(),
+        owner.sync.connected(),
         sorted(n for n in settings.nodes if MEMBER + n in items),
         role.value.node if role is not None and role.value is not None else None,
         len(owner.machines),
--- a/sagecove/coordination/leadership.py
+++ b/sagecove/coordination/leadership.py
@@ -65,7 +65,10 @@
         """Answer a peer's hint: promise only while refused ourselves, so that a peer refused alone
         is replaced in time."""
         owner = self.owner
-        refused = owner.sync_failed_at > owner.synced_at and owner.now - owner.synced_at > 0.5
+        refused = (
+            owner.sync.sync_failed_at > owner.sync.synced_at
+            and owner.now - owner.sync.synced_at > 0.5
+        )
         if not owner.mirror.loaded or not refused:
             return Promise()
         self.given_until = max(self.given_until, owner.now + self.length)
@@ -86,7 +89,7 @@
 
     def acting_until(self) -> float:
         """The moment after which this controller must not act."""
-        synced = self.owner.synced_at + self.length * (1 - self.owner.settings.drift)
+        synced = self.owner.sync.synced_at + self.length * (1 - self.owner.settings.drift)
         return max(min(self.until, synced), self.promised_until)
 
     def acting(self, now: float) -> bool:
@@ -144,7 +147,7 @@
                 self.renew_at = self.owner.now
                 self.provisioner_term = 0
                 for name in list(self.owner.held):
-                    self.owner.lose_shard(name)
+                    self.owner.shards.lose_shard(name)
             else:
                 self.renew_at = min(self.renew_at, self.owner.now + self.length / 16)
 
@@ -183,7 +186,7 @@
 
         def done(result: Result) -> None:
             self.busy.discard(key)
-            owner.want_sync()
+            owner.sync.want_sync()
             if result.outcome is not Outcome.DONE:
                 self.missing_since[shard] = owner.now + owner.random.uniform(0, self.length / 16)
 
@@ -193,7 +196,7 @@
         # to act for.
         before = owner.mirror.items.get(key)
         vacated = before is not None and before.value.node == node
-        vacated = vacated or not owner.shard_in_use(shard)
+        vacated = vacated or not owner.shards.shard_in_use(shard)
         put = wire.Put(key, HolderRecord(node, self.lease, vacated), self.lease)
         owner.commit([(key, stamp)], [put], done, urgent=True)
 
@@ -208,7 +211,7 @@
                 continue
             if name == node:
                 continue
-            if not owner.shard_in_use(name):
+            if not owner.shards.shard_in_use(name):
                 continue
             since = self.missing_since.setdefault(
                 name, now + owner.random.uniform(0, self.length / 32)
@@ -242,7 +245,7 @@
             mine = item is not None and item.value.lease == self.lease and self.lease is not None
             held = owner.held.get(name)
             if held is not None and (not mine or item is None or held.term != item.stamp):
-                owner.lose_shard(name)
+                owner.shards.lose_shard(name)
                 held = None
             # Records read for the shard must be no older than the term: earlier holders'
             # transactions are conditional on theirs and fail from then on.
@@ -253,7 +256,7 @@
                 and owner.mirror.applied >= item.stamp
                 and (item.value.vacated or owner.now >= self.given_until)
             ):
-                owner.gain_shard(Shard(name, item.stamp, owner.now))
+                owner.shards.gain_shard(Shard(name, item.stamp, owner.now))
         role = owner.mirror.items.get(PROVISIONER)
         mine = role is not None and role.value.lease == self.lease and self.lease is not None
         self.provisioner_term = role.stamp if mine and role is not None else 0
@@ -292,6 +295,6 @@
                 self.busy.discard(key)
                 if result.outcome is Outcome.NO_LEASE:
                     self.namesake_since.pop(name, None)
-                owner.want_sync()
+                owner.sync.want_sync()
 
             owner.commit([(key, shard.term)], [put], done, urgent=True)
--- /dev/null
+++ b/sagecove/coordination/peers.py
@@ -0,0 +1,129 @@
+"""Hints between controllers, and what they tell of other holders."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from sagecove.coordination.effects import Asked, Reply
+from sagecove.coordination.model import Machine
+from sagecove.coordination.ports import Done
+from sagecove.protocol.peers import Hint, read_hint, read_promise
+from sagecove.protocol.users import Refusal
+
+if TYPE_CHECKING:
+    from sagecove.coordination.owner import Owner
+
+
+class Peers:
+    """What peers say, and what is said to them."""
+
+    def __init__(self, owner: Owner) -> None:
+        self.owner = owner
+        self.hints: dict[str, tuple[float, Hint]] = {}
+        # Jobs short of room in the shard that must have them: (shard, tasks, when said).
+        self.hungry: dict[str, tuple[str, int, float]] = {}
+        self.cancelled_lately: list[str] = []
+        self.hint_at = 0.0
+
+    def tell(self, now: float) -> None:
+        if now < self.hint_at:
+            return
+        self.hint_at = now + 1.0
+        hungry: dict[str, tuple[str, int]] = {}
+        running: dict[str, int] = {}
+        for job in self.owner.jobs.values():
+            count = sum(1 for p in job.placed.values() if p.state == "running")
+            if count:
+                running[job.id] = count
+            for shard in self.owner.held:
+                lacking = job.placeable(shard)
+                if self.owner.failures.suspect(job):
+                    # Nothing is rented for what fails everywhere.
+                    continue
+                if lacking and now - job.stuck_at.get(shard, now) > 0.4:
+                    hungry[job.id] = (shard, lacking.bit_count())
+                    self.hungry[job.id] = (shard, lacking.bit_count(), now)
+        hint = Hint(
+            self.owner.settings.node,
+            self.owner.now - self.owner.sync.synced_at < 2.0,
+            running,
+            hungry,
+            [m.name for m in self.owner.machines.values() if m.known],
+            self.owner.workers.strangers(now),
+            self.owner.provision.draining,
+            self.cancelled_lately,
+            [job.id for job in self.owner.jobs.values() if job.blamed],
+        )
+        self.drain(hint)
+        self.cancelled_lately = []
+        for peer in self.owner.settings.peers:
+            self.owner.call(peer.addr, "POST", "/hint", hint, 1.0, self._hinted(peer.node, now))
+
+    def drain(self, hint: Hint) -> None:
+        for name in hint.drain:
+            if (machine := self.owner.machines.get(name)) is not None:
+                machine.drain_until = self.owner.now + 4.0
+
+    def _hinted(self, node: str, sent: float) -> Done:
+        def done(status: int | None, body: bytes) -> None:
+            try:
+                answer = read_promise(body) if status == 200 else None
+            except (msgspec.MsgspecError, UnicodeDecodeError):
+                answer = None
+            if answer is not None:
+                self.owner.leadership.promised(node, sent, answer)
+
+        return done
+
+    def hint_cancel(self, job_id: str) -> None:
+        """Let the peers look for a cancellation before their watch tells them."""
+        self.cancelled_lately.append(job_id)
+        self.hint_at = min(self.hint_at, self.owner.now)
+
+    def asked(self, ask: Asked) -> None:
+        if ask.path == "/relay":
+            self.owner.workers.report(ask.body, ask.exchange, relayed=True)
+            return
+        try:
+            hint = read_hint(ask.body)
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            self.owner.effects.append(Reply(ask.exchange, 400, Refusal("unreadable")))
+            return
+        if hint.node in self.owner.settings.nodes:
+            self.hints[hint.node] = (self.owner.now, hint)
+            for job_id, (shard, count) in hint.hungry.items():
+                self.hungry[job_id] = (shard, count, self.owner.now)
+            self.drain(hint)
+            for job_id in hint.failing:
+                if (job := self.owner.jobs.get(job_id)) is not None:
+                    job.blamed_elsewhere_at = self.owner.now
+            for name in hint.strangers:
+                if (machine := self.owner.machines.get(name)) is not None:
+                    machine.elsewhere_at = self.owner.now
+            if any(job_id in self.owner.jobs for job_id in hint.cancelled):
+                self.owner.sync.want_sync()
+        self.owner.effects.append(Reply(ask.exchange, 200, self.owner.leadership.promise()))
+
+    def running_elsewhere(self, job_id: str) -> int:
+        """Running tasks of a job on other controllers' machines, for display."""
+        return sum(
+            hint.running.get(job_id, 0)
+            for at, hint in self.hints.values()
+            if self.owner.now - at < 5.0
+        )
+
+    def arrival(self, machine: Machine) -> str:
+        """Whether a machine is `up`, `coming` or `overdue`, as far as this controller can tell."""
+        if machine.known:
+            return "up"
+        holder = self.owner.shards.holder_of(machine.record.shard)
+        hint = self.hints.get(holder or "")
+        told = hint is not None and self.owner.now - hint[0] < 5.0
+        if told and hint is not None and machine.name in hint[1].heard:
+            return "up"
+        boot = machine.kind.boot_s if machine.kind else 30.0
+        if self.owner.wall() - machine.record.at < 2 * boot:
+            return "coming"
+        return "overdue" if told or holder == self.owner.settings.node else "up"
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -231,7 +231,7 @@
                 machine.state == "booting"
                 and not known.ever_heard
                 and known.kind is not None
-                and machine.age_s > owner.boot_most_s(known.kind)
+                and machine.age_s > owner.learning.boot_most_s(known.kind)
                 and not known.record.leaving
             ):
                 self._mark(known.name, known.record, known.stamp, "never came up")
@@ -385,14 +385,14 @@
             return
         for job in owner.jobs.values():
             if job.array:
-                owner.rank(job)
+                owner.learning.rank(job)
         # Machines would not help jobs that fail everywhere.
         jobs = sorted(
             (j for j in owner.jobs.values() if not owner.failures.suspect(j)), key=precedence
         )
         coming = Fleet(min((j.spec.cpus for j in jobs), default=0.0))
         for m in owner.machines.values():
-            if m.kind is not None and not m.record.leaving and owner.arrival(m) == "coming":
+            if m.kind is not None and not m.record.leaving and owner.peers.arrival(m) == "coming":
                 coming.add(Coming.of(m))
         wanted: dict[tuple[str, str, bool, str], int] = {}
         homes = self._gang_homes(jobs, coming)
@@ -413,18 +413,18 @@
         homes: dict[str, str] = {}
         free: dict[str, set[str]] = {}
         for job in jobs:
-            if not job.gang or (home := owner.gang_home(job)) is None:
+            if not job.gang or (home := owner.shards.gang_home(job)) is None:
                 continue
             homes[job.id] = home
             claimed = job.claimed(home).bit_count()
-            hungry = owner.hungry.get(job.id)
+            hungry = owner.peers.hungry.get(job.id)
             if hungry is not None and owner.now - hungry[2] < 4.0:
                 claimed -= hungry[1]
             if home not in free:
                 free[home] = {
                     m.name
                     for m in owner.by_shard.get(home, {}).values()
-                    if not m.record.leaving and not m.sick and owner.arrival(m) == "up"
+                    if not m.record.leaving and not m.sick and owner.peers.arrival(m) == "up"
                 }
             # Which ones the claimed tasks are on only the holder knows: any will do here.
             mine = [n for n in free[home] if machine_allowed(job.spec, owner.machines[n])]
@@ -444,7 +444,7 @@
     def _lacking(self, job: JobRun, now: float) -> list[tuple[str | None, int]]:
         """Tasks without a place: those nobody claims, and those whose shard lacks the room."""
         out: list[tuple[str | None, int]] = []
-        hungry = self.owner.hungry.get(job.id)
+        hungry = self.owner.peers.hungry.get(job.id)
         if hungry is not None and now - hungry[2] < 4.0:
             out.append((hungry[0], hungry[1]))
         if unclaimed := job.unclaimed.bit_count():
@@ -508,7 +508,7 @@
                 machine.kind is not None
                 and not machine.record.leaving
                 and not machine.sick
-                and owner.arrival(machine) != "overdue"
+                and owner.peers.arrival(machine) != "overdue"
             ):
                 have += machine.kind.cpus
                 usable.append(machine)
@@ -528,7 +528,7 @@
                 # More than its team may use at one time would not run anyway.
                 left = min(left, 4.0 * max(1, int(limit.cpus_max / job.spec.cpus)))
             weight = self._weight(job)
-            run = max(1.0, owner.expected(job))
+            run = max(1.0, owner.learning.expected(job))
             work += left * run * weight
             # Nobody is through sooner than one task's run after the machine is there.
             soon = max(self._time_left(job) - 0.3 * run, 0.75 * run, 10.0)
@@ -593,7 +593,7 @@
     def _time_left(self, job: JobRun) -> float:
         """How long the rest of an array may take, with some reserve."""
         owner = self.owner
-        return owner.finish_within(job) * 0.7 - (owner.wall() - job.at)
+        return owner.learning.finish_within(job) * 0.7 - (owner.wall() - job.at)
 
     def rent(self, kind: str, zone: str, spot: bool, count: int, shard: str) -> None:
         """Write a rental down, then ask the cloud for it. Of one type, zone and kind only one call
--- a/sagecove/coordination/quota.py
+++ b/sagecove/coordination/quota.py
@@ -72,7 +72,7 @@
         table: dict[str, list[float]] = {"": [0.0, 0.0]}
         owner = self.owner
         unknown = owner.held[shard].unknown
-        for machine in owner.shard_machines(shard):
+        for machine in owner.shards.shard_machines(shard):
             if machine.name in unknown or machine.murky:
                 # Whose tasks are here is not known yet: count all of the machine for every team.
                 kind = machine.kind
@@ -177,7 +177,7 @@
             )
             if not tight or now - self.trimmed_at.get(team, -1e9) < 1.0:
                 continue
-            for shard in self.owner.acting_shards(now):
+            for shard in self.owner.shards.acting_shards(now):
                 allot = self.allotted(shard, team)
                 if (shard, team) in self.shrinking:
                     continue
--- /dev/null
+++ b/sagecove/coordination/shards.py
@@ -0,0 +1,139 @@
+"""Shards: what is held, gained and lost, and whose machines and claims they have."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from sagecove.coordination.model import JobRun, Machine, Shard
+from sagecove.coordination.placement import (
+    Room,
+    fills_most,
+    keep_reserved,
+    machine_allowed,
+    plan,
+    type_allowed,
+)
+from sagecove.coordination.ports import TICK_S
+from sagecove.protocol.users import Job
+from sagecove.storage import records as r
+from sagecove.storage import taskset
+
+if TYPE_CHECKING:
+    from sagecove.coordination.owner import Owner
+
+
+log = logging.getLogger("sagecove.shards")
+
+
+class Shards:
+    """Dealings with shards."""
+
+    def __init__(self, owner: Owner) -> None:
+        self.owner = owner
+        self.gang_homes: dict[tuple[object, ...], tuple[float, str | None]] = {}
+
+    def shard_machines(self, shard: str) -> list[Machine]:
+        """The machines of a shard."""
+        return list(self.owner.by_shard.get(shard, {}).values())
+
+    def acting_shards(self, now: float) -> list[str]:
+        """Shards for which this controller may act now."""
+        if not self.owner.leadership.acting(now):
+            return []
+        return [name for name, shard in self.owner.held.items() if not shard.yielding]
+
+    def holder_of(self, shard: str) -> str | None:
+        """The node that holds a shard, as far as is known."""
+        item = self.owner.mirror.items.get(r.HOLDER + shard)
+        return item.value.node if item and item.value is not None else None
+
+    def shard_in_use(self, shard: str) -> bool:
+        """There are machines or claims that need a holder."""
+        return bool(self.owner.by_shard.get(shard)) or any(
+            shard in job.claims for job in self.owner.jobs.values()
+        )
+
+    def gain_shard(self, shard: Shard) -> None:
+        """This controller holds a shard from now on: nothing is known of its machines yet."""
+        self.owner.held[shard.name] = shard
+        machines = self.shard_machines(shard.name)
+        for machine in machines:
+            machine.reset(self.owner.now)
+        shard.unknown = {m.name for m in machines}
+        if shard.unknown:
+            for job in self.owner.jobs.values():
+                if bits := job.claimed(shard.name):
+                    job.limbo[shard.name] = bits
+        log.info("shard gained shard=%s term=%d machines=%d", shard.name, shard.term, len(machines))
+        self.owner.quota.forget()
+        self.owner.dirty = True
+
+    def lose_shard(self, name: str) -> None:
+        """Somebody else holds a shard, or nobody does."""
+        shard = self.owner.held.pop(name, None)
+        if shard is None:
+            return
+        log.info("shard lost shard=%s term=%d", name, shard.term)
+        for machine in self.shard_machines(name):
+            for placement in machine.tasks.values():
+                if placement.job is not None:
+                    placement.job.remove(placement)
+            machine.reset(self.owner.now)
+        for job in self.owner.jobs.values():
+            job.limbo.pop(name, None)
+            job.stuck_at.pop(name, None)
+            job.fresh &= ~job.claims.get(name, 0)
+        self.owner.quota.forget()
+
+    def machine_resolved(self, machine: Machine) -> None:
+        """What an earlier holder may have left on this machine is known: it has reported under the
+        current token, so that its list is complete, or all that was on it is gone."""
+        shard = self.owner.held.get(machine.record.shard)
+        if shard is None or machine.name not in shard.unknown:
+            return
+        shard.unknown.discard(machine.name)
+        self.owner.quota.forget()
+        if not shard.unknown:
+            for job in self.owner.jobs.values():
+                job.limbo.pop(shard.name, None)
+            self.owner.dirty = True
+
+    def gang_home(self, job: JobRun) -> str | None:
+        """The shard that a gang of whole machines belongs to: the one with most machines for it.
+        None if several of its tasks share a machine, which any shard can provide."""
+        spec = job.spec
+        needs = (*(spec.types or ()), spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory_gb)
+        known = self.gang_homes.get(needs)
+        if known is not None and self.owner.now < known[0]:
+            return known[1]
+        home = self._find_home(spec)
+        if len(self.gang_homes) > 200:
+            self.gang_homes.clear()
+        self.gang_homes[needs] = (self.owner.now + 4 * TICK_S, home)
+        return home
+
+    def _find_home(self, spec: Job) -> str | None:
+        types = [t for t in self.owner.types.values() if type_allowed(spec, t)]
+        if not types or not all(fills_most(spec, t) for t in types):
+            return None
+        counts = dict.fromkeys(sorted(self.owner.settings.nodes), 0)
+        for shard, machines in self.owner.by_shard.items():
+            if shard in counts:
+                counts[shard] = sum(
+                    not m.record.leaving and machine_allowed(spec, m) for m in machines.values()
+                )
+        return max(counts, key=lambda n: counts[n])
+
+    def promised(self, shard: str) -> Room:
+        """Room of a shard's machines that its claimed but unplaced tasks will take."""
+        promised: Room = {}
+        machines = self.shard_machines(shard)
+        for job in self.owner.jobs.values():
+            bits = 0 if self.owner.failures.suspect(job) else job.placeable(shard)
+            if bits and job.reserved:
+                keep_reserved(promised, job)
+            elif bits:
+                indexes = list(taskset.members(taskset.lowest(bits, 200)))
+                plan(job, indexes, machines, self.owner.random, promised)
+        return promised
--- /dev/null
+++ b/sagecove/coordination/sync.py
@@ -0,0 +1,155 @@
+"""Loading and watching the mirror, and linearizable reads."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from sagecove.coordination.ports import Done
+from sagecove.protocol import state as wire
+from sagecove.storage import records as r
+from sagecove.storage.mirror import Event, Item
+from sagecove.storage.store import decode
+
+if TYPE_CHECKING:
+    from sagecove.coordination.owner import Owner
+
+
+log = logging.getLogger("sagecove.sync")
+
+
+class Sync:
+    """The mirror, kept current."""
+
+    def __init__(self, owner: Owner) -> None:
+        self.owner = owner
+        self.synced_at = -1e9
+        self.sync_failed_at = -1e9
+        self.syncing = False
+        self.sync_wanted = False
+        self.sync_at = 0.0
+        self.watching = False
+        self.watch_at = 0.0
+        self.loading = False
+        self.load_at = 0.0
+        self.page_items: dict[str, Item] = {}
+        self.page_ledger = 0
+        self.page_begun = 0.0
+
+    def load(self, now: float) -> None:
+        if self.loading or now < self.load_at:
+            return
+        self.loading = True
+        self.page_items = {}
+        self.page_ledger = 0
+        self.page_begun = now
+        self.owner.store.page(now, r.LIVE, "", self._paged)
+
+    def _paged(self, status: int | None, body: bytes) -> None:
+        page = decode(body, wire.Page) if status == 200 else None
+        if page is None:
+            self.loading = False
+            self.load_at = self.owner.now + self.owner.random.uniform(0.2, 0.5)
+            return
+        if not self.page_ledger:
+            # Later pages may hold newer values: the watch starts from the first page's revision.
+            self.page_ledger = page.revision
+        for pair in page.items:
+            self.page_items[pair.key] = Item(r.parse(pair.key, pair.value), pair.version)
+        if page.more and page.items:
+            self.owner.store.page(self.owner.now, r.LIVE, page.items[-1].key, self._paged)
+            return
+        self.loading = False
+        events = self.owner.mirror.differences(self.page_items, self.page_ledger)
+        self.page_items = {}
+        for event in events:
+            self.owner.apply(event)
+        first = not self.owner.mirror.loaded
+        self.owner.mirror.loaded = True
+        self._advance(self.page_ledger, self.page_begun)
+        if first:
+            self.owner.leadership.cancels = self.page_ledger
+            log.info("loaded keys=%d ledger=%d", len(self.owner.mirror.items), self.page_ledger)
+
+    def watch(self, now: float) -> None:
+        self.watching = True
+        wait_s = min(30.0, self.owner.leadership.length / 2)
+        self.owner.store.watch(
+            now, r.LIVE, self.owner.mirror.applied, wait_s, self._changes(now, False)
+        )
+
+    def want_sync(self) -> None:
+        """A linearizable read is wanted."""
+        self.sync_wanted = True
+
+    def sync_if_due(self, now: float) -> None:
+        if (
+            not self.sync_wanted
+            or self.syncing
+            or not self.owner.mirror.loaded
+            or now < self.sync_at
+        ):
+            return
+        self.sync_wanted = False
+        self.syncing = True
+        # Polls of an interval share one read: its length keeps reads within a part of the budget.
+        self.sync_at = now + 5 / self.owner.store.requests.rate
+        self.owner.store.watch(
+            now, r.LIVE, self.owner.mirror.applied, 0.0, self._changes(now, True)
+        )
+
+    def _changes(self, begun: float, sync: bool) -> Done:
+        asked = self.owner.users.asked
+
+        def done(status: int | None, body: bytes) -> None:
+            if sync:
+                self.syncing = False
+            else:
+                self.watching = False
+                # Changes come all the time: each answer should carry several.
+                self.watch_at = self.owner.now + 5 / self.owner.store.requests.rate
+            answer = decode(body, wire.Changes) if status == 200 else None
+            if answer is not None:
+                for change in answer.events:
+                    if change.version <= self.owner.mirror.applied:
+                        # Told of by another answer already: not worth being parsed again.
+                        continue
+                    if change.put is not None:
+                        value = r.parse(change.put, change.value)
+                        self.owner.apply(Event(change.put, value, change.version))
+                    elif change.delete is not None:
+                        self.owner.apply(Event(change.delete, None, change.version))
+                # Only a read that answers at once proves that nothing newer was there before it.
+                self._advance(answer.revision, begun)
+                if sync:
+                    self.owner.users.read_done(asked, True)
+                    if self.owner.users.waiting:
+                        self.sync_wanted = True
+                return
+            if status == 410:
+                self.owner.mirror.loaded = False
+                self.loading = False
+                if sync:
+                    self.owner.users.read_done(asked, False)
+                return
+            if sync:
+                self.sync_failed_at = self.owner.now
+                self.sync_at = self.owner.now + self.owner.random.uniform(0.15, 0.4)
+                self.owner.users.read_done(asked, False)
+                self.sync_wanted = True
+            else:
+                self.watch_at = self.owner.now + self.owner.random.uniform(0.3, 0.8)
+
+        return done
+
+    def _advance(self, ledger: int, begun: float) -> None:
+        self.owner.mirror.advance(ledger)
+        self.synced_at = max(self.synced_at, begun)
+        self.owner.leadership.check_holders()
+        self.owner.dirty = True
+
+    def connected(self) -> bool:
+        """The state service answered lately."""
+        return self.owner.mirror.loaded and (
+            self.owner.now - self.synced_at < 2.0 or self.sync_failed_at < self.synced_at
+        )
--- /dev/null
+++ b/sagecove/coordination/upkeep.py
@@ -0,0 +1,98 @@
+"""Machines that nobody needs, and telling why jobs wait."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from sagecove.coordination.model import Machine
+from sagecove.coordination.ports import TICK_S
+from sagecove.protocol.cloud import MachineType
+
+if TYPE_CHECKING:
+    from sagecove.coordination.owner import Owner
+
+
+log = logging.getLogger("sagecove.upkeep")
+
+# A job that waits this long is told of in the log, and again after as long.
+WAIT_TOLD_S = 20.0
+
+
+class Upkeep:
+    """Idle machines and long waits."""
+
+    def __init__(self, owner: Owner) -> None:
+        self.owner = owner
+        self.idle_at = 0.0
+        self.wait_told_at = 0.0
+
+    def return_idle(self, now: float) -> None:
+        """Return machines that have been idle for long, but keep a little room for arrivals."""
+        if now < self.idle_at:
+            return
+        self.idle_at = now + 4 * TICK_S
+        for name in self.owner.shards.acting_shards(now):
+            idle: dict[tuple[str, bool], list[Machine]] = {}
+            machines = self.owner.shards.shard_machines(name)
+            for machine in machines:
+                if not machine.empty or machine.record.leaving or machine.kind is None:
+                    continue
+                if machine.notice:
+                    self.owner.workers.leave(machine, "spot notice")
+                    continue
+                idle.setdefault((machine.record.type, machine.record.spot), []).append(machine)
+            for group in idle.values():
+                group.sort(key=lambda m: -m.idle_since)
+                kind = group[0].kind
+                assert kind is not None
+                patience = self._patience(kind)
+                keep = self._keep(kind, machines) if not group[0].record.spot else 0
+                for machine in group[keep:]:
+                    age = self.owner.wall() - machine.record.at
+                    # A machine that is deleted costs 60 s at least: it may as well wait as long.
+                    drained = now < machine.drain_until and now - machine.idle_since > 2.0
+                    if (drained or now - machine.idle_since > patience) and age > 55.0:
+                        self.owner.workers.leave(machine, "idle")
+
+    def _patience(self, kind: MachineType) -> float:
+        """How long a machine may idle: longer where jobs come that need one of its own, since
+        those would have to wait for a boot."""
+        patience = max(15.0, 0.8 * kind.boot_s)
+        arrivals = self.owner.learning.arrivals.get(kind.name)
+        if arrivals and len(arrivals) > 1:
+            gap = (self.owner.now - arrivals[0]) / len(arrivals)
+            patience = max(patience, min(2.5 * gap, 5 * kind.boot_s))
+        return patience
+
+    def _keep(self, kind: MachineType, machines: list[Machine]) -> int:
+        """Idle machines a shard keeps for services to come: none where others can make room."""
+        if kind.gpus > 0:
+            return 0
+        room = 0.0
+        for machine in machines:
+            if machine.open and not machine.record.spot and machine.tasks:
+                fixed = sum(
+                    p.job.spec.cpus
+                    for p in machine.tasks.values()
+                    if p.job is not None and p.live and p.job.priority == 3
+                )
+                room += (machine.kind.cpus if machine.kind else 0.0) - fixed
+        return 0 if room >= kind.cpus else 1
+
+    def tell_waits(self, now: float) -> None:
+        """Log why jobs wait that have waited for long: the oldest few at a time."""
+        if not self.owner.leadership.provisioner_term or now < self.wait_told_at + 5.0:
+            return
+        self.wait_told_at = now
+        from sagecove.coordination import explain
+
+        long = [
+            j
+            for j in self.owner.jobs.values()
+            if j.unclaimed and now - j.wait_told_at > WAIT_TOLD_S
+        ]
+        for job in sorted(long, key=lambda j: j.wait_told_at)[:3]:
+            job.wait_told_at = now
+            told = explain.explain(self.owner, job)
+            log.info("waits job=%s team=%s why=%s", job.id, told.team, "; ".join(told.reasons))
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -54,6 +54,11 @@
         """The service can't answer now: say so at once, and when to come back."""
         self._reply(exchange, 503, u.Refusal(why), retry)
 
+    def unanswered(self, exchange: Any) -> None:
+        """The state service does not answer."""
+        retry = self.owner.requests.retry_hint()
+        self.later(exchange, "the state service does not answer", retry)
+
     def final(self, job_id: str, state: str, tasks: int) -> None:
         """Remember a final state."""
         self.finals[job_id] = (state, tasks)
@@ -73,7 +78,7 @@
         owner = self.owner
         done = (job.fin | job.fresh).bit_count()
         running = sum(1 for p in job.placed.values() if p.state == "running")
-        running += owner.running_elsewhere(job.id)
+        running += owner.peers.running_elsewhere(job.id)
         state = u.RUNNING if running else u.PENDING
         if kind == "status":
             self._reply(exchange, 200, u.Status(job.id, state, done, running))
@@ -103,8 +108,8 @@
         if not owner.mirror.loaded or not owner.types:
             self.later(exchange, "the machine types are not known yet")
             return
-        if not owner.connected():
-            self.later(exchange, "the state service does not answer", owner.retry_hint())
+        if not owner.sync.connected():
+            self.unanswered(exchange)
             return
         reason = self.impossible(job)
         if reason is not None:
@@ -147,7 +152,7 @@
         changes: list[wire.Put | wire.Drop] = [wire.Put(JOB + job_id, record)]
         run = JobRun(record, 0)
         if run.service:
-            owner.settle(run)
+            owner.learning.settle(run)
         claimed = self._claim_now(run)
         if claimed is not None and len(claimed[0]) > 1 and owner.store.short(owner.now):
             # Many at once: that each of them is durable soon comes before a larger allotment.
@@ -185,7 +190,9 @@
                     self.await_read("submit", job_id, waiter)
             else:
                 for waiter in waiters:
-                    self.later(waiter, "the state service does not answer", owner.retry_hint())
+                    self.later(
+                        waiter, "the state service does not answer", owner.requests.retry_hint()
+                    )
 
         owner.commit(conditions, changes, done, urgent=True)
 
@@ -195,12 +202,14 @@
         owner = self.owner
         node = owner.settings.node
         shard = owner.held.get(node)
-        if shard is None or node not in owner.acting_shards(owner.now):
+        if shard is None or node not in owner.shards.acting_shards(owner.now):
             return None
         machines = [
-            m for m in owner.shard_machines(node) if not job.array or owner.now >= m.drain_until
+            m
+            for m in owner.shards.shard_machines(node)
+            if not job.array or owner.now >= m.drain_until
         ]
-        promised = owner.promised(node)
+        promised = owner.shards.promised(node)
         claims = owner.claims
         claims.futile = claims.futile_making = Futile()
         claims.look_around([m for m in machines if m.open])
@@ -237,14 +246,14 @@
             self._reply(exchange, 404, u.Refusal("no such job"))
         elif job_id in self.finals:
             self._tell_final(kind, job_id, exchange)
-        elif not owner.connected():
-            self.later(exchange, "the state service does not answer", owner.retry_hint())
+        elif not owner.sync.connected():
+            self.unanswered(exchange)
         elif len(self.waiting) > 2000:
             self.later(exchange, "too many requests at once", 2.0)
         else:
             self.asked += 1
             self.waiting.append((self.asked, kind, job_id, exchange))
-            owner.want_sync()
+            owner.sync.want_sync()
 
     def read_done(self, asked: int, good: bool) -> None:
         """A read has ended that was sent after request number `asked` had come in."""
@@ -255,7 +264,9 @@
         self.waiting = [e for e in self.waiting if e[0] > asked] if good else []
         for _, kind, job_id, exchange in ready:
             if not good:
-                self.later(exchange, "the state service does not answer", owner.retry_hint())
+                self.later(
+                    exchange, "the state service does not answer", owner.requests.retry_hint()
+                )
             elif (job := owner.jobs.get(job_id)) is not None:
                 if kind == "cancel":
                     self._cancel(job, exchange)
@@ -310,12 +321,14 @@
         def done(result: Result) -> None:
             if result.outcome is Outcome.DONE:
                 log.info("cancelled job=%s", job.id)
-                owner.hint_cancel(job.id)
+                owner.peers.hint_cancel(job.id)
                 self._reply(exchange, 200, u.Status(job.id, u.CANCELLED))
             elif result.outcome is Outcome.CONFLICT:
                 # The record moved on meanwhile: look again.
                 self.await_read("cancel", job.id, exchange)
             else:
-                self.later(exchange, "the state service does not answer", owner.retry_hint())
+                self.later(
+                    exchange, "the state service does not answer", owner.requests.retry_hint()
+                )
 
         owner.commit([(key, job.stamp)], changes, done, urgent=True)
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -76,7 +76,7 @@
             return
         shard = owner.held.get(machine.record.shard)
         if shard is None or shard.yielding or not owner.leadership.acting(now):
-            holder = owner.holder_of(machine.record.shard)
+            holder = owner.shards.holder_of(machine.record.shard)
             if holder is None and not relayed:
                 # Its lease has lapsed, and somebody is about to take the shard.
                 self._park(machine, exchange)
@@ -104,7 +104,7 @@
         owner = self.owner
         now = owner.now
         addr = next((p.addr for p in owner.settings.peers if p.node == holder), None)
-        hint = owner.hints.get(holder)
+        hint = owner.peers.hints.get(holder)
         reachable = hint is not None and now - hint[0] < HINT_FRESH_S
         back = 0.7 < now - machine.redirected_at < self.pace.lease_s
         # One whose lease outlives its silence is alive, and merely cut off from its peers.
@@ -141,7 +141,7 @@
         now = owner.now
         machine.relaying = False
         machine.stranger_at = now
-        live = sorted(n for n, (at, _) in owner.hints.items() if now - at < HINT_FRESH_S)
+        live = sorted(n for n, (at, _) in owner.peers.hints.items() if now - at < HINT_FRESH_S)
         if live:
             owner.effects.append(Reply(exchange, 421, w.Redirect(owner.random.choice(live))))
         else:
@@ -204,7 +204,7 @@
         machine.addr = report.addr
         machine.heard_at = now
         if not machine.ever_heard:
-            owner.came_up(machine)
+            owner.learning.came_up(machine)
         machine.ever_heard = True
         if report.notice_s is not None and not machine.notice:
             log.info("spot notice machine=%s", machine.name)
@@ -247,7 +247,7 @@
             owner.quota.forget()
         machine.strays = strays
         if first:
-            owner.machine_resolved(machine)
+            owner.shards.machine_resolved(machine)
         owner.dirty = True
 
     def _save(self, machine: Machine) -> None:
@@ -303,7 +303,7 @@
         placement.why = hand.why
         job.remove(placement)
         if hand.why == w.WHY_DONE:
-            owner.learned(placement)
+            owner.learning.learned(placement)
             owner.failures.completed(machine, job)
             if job.gang:
                 # All tasks of a gang complete together.
@@ -364,7 +364,7 @@
             if now - at > 600:
                 del self.gone[name]
         for shard in list(owner.held.values()):
-            machines = owner.shard_machines(shard.name)
+            machines = owner.shards.shard_machines(shard.name)
             # Reports that this process was not there to hear are no silence.
             heard_since = max(shard.since, owner.present_since)
             quiet = [m for m in machines if now - m.heard_at > self.silent and m.ever_heard]
@@ -377,7 +377,7 @@
                     machine.over_session = max(machine.over_session, machine.session)
                     machine.known = False
                     self.forget_tasks(machine)
-                    owner.machine_resolved(machine)
+                    owner.shards.machine_resolved(machine)
             if not owner.leadership.acting(now) or shard.yielding:
                 continue
             # When many fall silent at once, the fault is more likely on this side.
--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -58,7 +58,7 @@
             self.state.tick()
             for name in list(self.owners):
                 self.turn(name)
-            acting = [s for o in self.owners.values() for s in o.acting_shards(self.now)]
+            acting = [s for o in self.owners.values() for s in o.shards.acting_shards(self.now)]
             assert len(acting) == len(set(acting)), f"two holders act for a shard: {acting}"
             self.check()
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -160,7 +160,7 @@
     world.state.refused.add(name)
     world.cut_links.add((name, "state"))
     world.run(40)
-    assert not owner.acting_shards(world.now)
+    assert not owner.shards.acting_shards(world.now)
     worker = world.workers[machine.name]
     assert worker.commands(late)[0] == 409
     assert world.running("run-000001") == 4
@@ -213,7 +213,7 @@
     world.state.refused |= {"n0", "n1"}
     world.cut_links |= {("n0", "state"), ("n1", "state")}
     world.run(20)
-    assert not world.owners["n0"].acting_shards(world.now)
+    assert not world.owners["n0"].shards.acting_shards(world.now)
     assert set(world.owners["n2"].held) == {"n0", "n1", "n2"}
 
 
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -240,21 +240,21 @@
     # Five times the nominal boot and more was waited for each, and paid for.
     owner = world.owners["n0"]
     kind = owner.types["small"]
-    assert owner.boot_most_s(kind) == 80.0
+    assert owner.learning.boot_most_s(kind) == 80.0
     for name in ["vm-000000", "vm-000001"] * 4:
         machine = owner.machines[name]
         machine.record.shard, machine.record.at = "n0", owner.wall() - 0.5
-        owner.came_up(machine)
-    assert owner.boot_most_s(kind) == 25.0
+        owner.learning.came_up(machine)
+    assert owner.learning.boot_most_s(kind) == 25.0
     # A slow one is no reason to give up the next that is slow.
     machine.record.at = owner.wall() - 30.0
     owner.held["n0"].since = owner.now - 40.0
-    owner.came_up(machine)
-    assert 59.0 < owner.boot_most_s(kind) < 61.0
+    owner.learning.came_up(machine)
+    assert 59.0 < owner.learning.boot_most_s(kind) < 61.0
     # What was rented before this holder's time says nothing.
     machine.record.at = owner.wall() - 45.0
-    owner.came_up(machine)
-    assert owner.boot_most_s(kind) < 61.0
+    owner.learning.came_up(machine)
+    assert owner.learning.boot_most_s(kind) < 61.0
 
 
 def test_many_machines_returned_at_once_do_not_fill_the_queue_of_transactions() -> None:
