--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -188,6 +188,9 @@
             fresh = 0
             for s in shards:
                 fresh |= job.claims.get(s.name, 0) & job.fresh
+            if job.home is not None:
+                job.home.finished(job, shard)
+                continue
             fin = job.fin | fresh
             # Tasks of a large array end all the time: their numbers are written together, unless
             # nothing of the job is left to run here. Until then the workers keep them.
@@ -555,6 +558,9 @@
         job.stuck_at.pop(name, None)
         job.claim_after = now + self.owner.random.uniform(0.5, 1.5) * self.poll_s
         job.releasing |= bits
+        if job.home is not None:
+            job.home.release(job, shard, bits)
+            return
         self._write_release(job, shard, claims, bits)
 
     def _write_release(self, job: JobRun, shard: Shard, claims: dict[str, int], bits: int) -> None:
@@ -613,7 +619,7 @@
             indexes = list(taskset.members(taskset.lowest(job.claiming[1], 1000)))
             plan(job, indexes, machines, owner.random, promised)
             return
-        if self.open_claims >= BATCH:
+        if self.open_claims >= BATCH and job.home is None:
             return
         if job.committing or now < job.claim_after or now < job.hold_until:
             return
@@ -694,6 +700,12 @@
     def claim(self, job: JobRun, shard: Shard, bits: int) -> None:
         """Claim tasks for a shard, together with the allotment they need."""
         owner = self.owner
+        if job.home is not None:
+            job.committing = True
+            job.claiming = (shard.name, bits)
+            owner.quota.claiming(shard.name, job.spec, bits.bit_count())
+            job.home.claim(job, shard, bits)
+            return
         made = self.claim_changes(shard, job, bits)
         if made is None:
             job.claim_after = owner.now + self.poll_s / 2
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -5,6 +5,7 @@
 import dataclasses
 from collections import OrderedDict
 
+from sagecove.coordination.ports import Home
 from sagecove.protocol import workers as w
 from sagecove.protocol.cloud import MachineType
 from sagecove.protocol.users import ARRAY, GANG, PRIORITIES, SERVICE, Job
@@ -72,6 +73,8 @@
         self.hold_until = 0.0
         self.attempt = 0
         self.failing = False
+        # Who writes its state, if it has no record of its own.
+        self.home: Home | None = None
         self.update(record, stamp)
 
     def update(self, record: JobRecord, stamp: int) -> None:
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -21,7 +21,7 @@
 from sagecove.coordination.placement import (
     dearness,
 )
-from sagecove.coordination.ports import TICK_S, Done
+from sagecove.coordination.ports import TICK_S, Done, Feature
 from sagecove.coordination.provision import Provision
 from sagecove.coordination.quota import Quota
 from sagecove.coordination.requests import Requests
@@ -51,7 +51,14 @@
 class Owner:
     """All state, and what is done about it."""
 
-    def __init__(self, settings: Settings, random: Random, now: float, wall: float) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        random: Random,
+        now: float,
+        wall: float,
+        features: Callable[[Owner], list[Feature]] | None = None,
+    ) -> None:
         self.settings = settings
         self.random = random
         self.now = now
@@ -94,6 +101,8 @@
         self.claims = Claims(self)
         self.users = Users(self)
         self.provision = Provision(self)
+        self.features = features(self) if features is not None else []
+        self.kinds = [kind for feature in self.features for kind in feature.records]
 
     # -- the loop -------------------------------------------------------------------------------
 
@@ -165,14 +174,21 @@
         self.upkeep.tell_waits(now)
         if self.mirror.loaded and now - self.sync.synced_at > self.leadership.length / 8:
             self.sync.want_sync()
+        for feature in self.features:
+            feature.tick(now)
         self.dirty = True
 
     def _pass(self, now: float) -> None:
         self.quota.forget()
         if self.jobs_changed:
             self.jobs_changed = False
-            self.quota.assign_guarantees(list(self.jobs.values()))
+            loads = [load for feature in self.features for load in feature.loads()]
+            self.quota.assign_guarantees(list(self.jobs.values()), loads)
+        for feature in self.features:
+            feature.before_pass(now)
         self.claims.run(now)
+        for feature in self.features:
+            feature.after_pass(now)
 
     # -- requests -------------------------------------------------------------------------------
 
@@ -256,29 +272,46 @@
             )
             for machine in self.machines.values():
                 self._set_kind(machine)
-        elif key.startswith(r.HOLDER) and event.value is None:
-            self.leadership.check_holders()
+        elif key.startswith(r.HOLDER):
+            if event.value is None:
+                self.leadership.check_holders()
+        else:
+            for feature in self.features:
+                if any(key.startswith(prefix) for prefix, _ in feature.records):
+                    feature.changed(event)
+
+    def parse(self, key: str, raw: Any) -> Any:
+        """A record from a decoded JSON value, of the core or of a feature."""
+        return r.parse(key, raw, self.kinds)
 
     def _job_changed(self, job_id: str, event: Event) -> None:
         job = self.jobs.get(job_id)
         if event.value is None:
             if job is not None:
-                del self.jobs[job_id]
-                self.jobs_changed = True
-                self.peers.hungry.pop(job_id, None)
-                for placement in list(job.placed.values()):
-                    self.workers.halt(placement, 0.0, "job over")
+                self.job_over(job)
             return
         if job is None:
-            job = self.jobs[job_id] = JobRun(event.value, event.stamp)
-            self.jobs_changed = True
-            job.seen_at = job.wait_told_at = self.now
-            # Or all controllers would reach for it in the same moment, and all but one in vain.
-            job.claim_after = self.now + self.random.uniform(0.0, self.claims.poll_s / 6)
-            self.learning.note_arrival(job)
+            self.job_seen(JobRun(event.value, event.stamp))
         else:
             job.update(event.value, event.stamp)
 
+    def job_seen(self, job: JobRun) -> None:
+        """A job is new here."""
+        self.jobs[job.id] = job
+        self.jobs_changed = True
+        job.seen_at = job.wait_told_at = self.now
+        # Or all controllers would reach for it in the same moment, and all but one in vain.
+        job.claim_after = self.now + self.random.uniform(0.0, self.claims.poll_s / 6)
+        self.learning.note_arrival(job)
+
+    def job_over(self, job: JobRun) -> None:
+        """A job is done or cancelled, durably: whatever of it is still on machines stops."""
+        del self.jobs[job.id]
+        self.jobs_changed = True
+        self.peers.hungry.pop(job.id, None)
+        for placement in list(job.placed.values()):
+            self.workers.halt(placement, 0.0, "job over")
+
     def _machine_changed(self, name: str, event: Event) -> None:
         machine = self.machines.get(name)
         if event.value is None:
--- a/sagecove/coordination/quota.py
+++ b/sagecove/coordination/quota.py
@@ -119,6 +119,13 @@
         used = self.used(shard, team)
         return max(claimed[0], used[0]), max(claimed[1], used[1])
 
+    def claiming(self, shard: str, spec: Job, count: int) -> None:
+        """A claim was begun: count it without counting all again."""
+        if (table := self._claimed.get(shard)) is not None:
+            have = table.setdefault(spec.team, [0.0, 0.0])
+            have[0] += count * spec.cpus
+            have[1] += count * spec.gpus
+
     def claimable(self, shard: str, spec: Job, wanted: int) -> int:
         """How many more tasks a shard may claim, its allotment grown by all that is spare."""
         allot = self.allotted(shard, spec.team)
@@ -127,19 +134,22 @@
         return _count(spec, (allot[0] + spare[0] - have[0], allot[1] + spare[1] - have[1]), wanted)
 
     def grown(self, shard: str, spec: Job, more: int) -> QuotaRecord | None:
-        """The record that lets a shard claim `more` tasks: the one there is if its allotment
-        suffices, None if the limit does not allow it.
+        """The record that lets a shard claim `more` tasks, see `grown_by`."""
+        return self.grown_by(shard, spec.team, more * spec.cpus, more * spec.gpus)
+
+    def grown_by(self, shard: str, team: str, cpus: float, gpus: float) -> QuotaRecord | None:
+        """The record that lets a shard claim so much more for a team: the one there is if its
+        allotment suffices, None if the limit does not allow it.
 
         Far from the limit it grows in coarse steps, to save writes; near it by the need alone.
         """
-        team = spec.team
         allot = self.allotted(shard, team)
         have = self.committed(shard, team)
         spare = self.spare(team)
         nodes = len(self.owner.settings.nodes)
         new = []
-        for n, need in enumerate((spec.cpus, spec.gpus)):
-            target = have[n] + more * need
+        for n, need in enumerate((cpus, gpus)):
+            target = have[n] + need
             if target <= allot[n] + EPS:
                 new.append(allot[n])
                 continue
@@ -191,10 +201,19 @@
                     out.append((team, shard, QuotaRecord(shards)))
         return out
 
-    def assign_guarantees(self, jobs: list[JobRun]) -> None:
-        """Mark the jobs that fit their team's guarantee together with its earlier jobs."""
+    def assign_guarantees(
+        self, jobs: list[JobRun], loads: list[tuple[float, str, str, float, float]]
+    ) -> None:
+        """Mark the jobs that fit their team's guarantee together with its earlier jobs. `loads`
+        stand for unfinished jobs that are not listed, see `Feature.loads`."""
         taken: dict[str, list[float]] = {}
+        loads.sort(reverse=True)
         for job in sorted(jobs, key=lambda j: (j.at, j.id)):
+            while loads and loads[-1][:2] < (job.at, job.id):
+                _, _, name, cpus, gpus = loads.pop()
+                have = taken.setdefault(name, [0.0, 0.0])
+                have[0] += cpus
+                have[1] += gpus
             spec = job.spec
             team = self.teams.get(spec.team)
             if team is None:
--- a/sagecove/coordination/requests.py
+++ b/sagecove/coordination/requests.py
@@ -35,7 +35,9 @@
                 self.owner.users.submit(ask.body, ask.exchange)
         elif path.startswith("/api/jobs/"):
             job_id, _, rest = path[len("/api/jobs/") :].partition("/")
-            if rest not in ("", "cancel"):
+            if rest not in ("", "cancel") and self._feature(ask):
+                pass
+            elif rest not in ("", "cancel"):
                 self.owner.effects.append(Reply(ask.exchange, 404, Refusal("no such path")))
             elif ask.method != ("POST" if rest else "GET"):
                 self.owner.effects.append(Reply(ask.exchange, 405, Refusal("wrong method")))
@@ -45,9 +47,12 @@
                 self.owner.users.status(job_id, ask.exchange)
         elif path == "/cluster" or path.startswith("/explain/"):
             self._view(path, ask)
-        else:
+        elif not self._feature(ask):
             self.owner.effects.append(Reply(ask.exchange, 404, Refusal("no such path")))
 
+    def _feature(self, ask: Asked) -> bool:
+        return any(feature.asked(ask) for feature in self.owner.features)
+
     def _view(self, path: str, ask: Asked) -> None:
         """Read-only questions beside PROTOCOL, answered from memory."""
         # Hardly ever asked, so not loaded before.
@@ -61,7 +66,7 @@
             self.owner.effects.append(Reply(ask.exchange, 200, explain.cluster(self.owner)))
         elif (job := self.owner.jobs.get(path[len("/explain/") :])) is not None:
             self.owner.effects.append(Reply(ask.exchange, 200, explain.explain(self.owner, job)))
-        else:
+        elif not self._feature(ask):
             self.owner.effects.append(
                 Reply(
                     ask.exchange, 404, Refusal("no job under way has this id; ask for its status")
--- a/sagecove/coordination/sync.py
+++ b/sagecove/coordination/sync.py
@@ -55,7 +55,7 @@
             # Later pages may hold newer values: the watch starts from the first page's revision.
             self.page_ledger = page.revision
         for pair in page.items:
-            self.page_items[pair.key] = Item(r.parse(pair.key, pair.value), pair.version)
+            self.page_items[pair.key] = Item(self.owner.parse(pair.key, pair.value), pair.version)
         if page.more and page.items:
             self.owner.store.page(self.owner.now, r.LIVE, page.items[-1].key, self._paged)
             return
@@ -115,7 +115,7 @@
                         # Told of by another answer already: not worth being parsed again.
                         continue
                     if change.put is not None:
-                        value = r.parse(change.put, change.value)
+                        value = self.owner.parse(change.put, change.value)
                         self.owner.apply(Event(change.put, value, change.version))
                     elif change.delete is not None:
                         self.owner.apply(Event(change.delete, None, change.version))
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -9,6 +9,7 @@
 
 import logging
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -16,6 +17,7 @@
 from sagecove.coordination.effects import Reply
 from sagecove.coordination.model import JobRun
 from sagecove.coordination.placement import Futile, type_allowed
+from sagecove.coordination.ports import Guard
 from sagecove.protocol import state as wire
 from sagecove.protocol import users as u
 from sagecove.protocol.state import Pair
@@ -38,7 +40,8 @@
         self.owner = owner
         # Final states, bounded; what fell out is read again.
         self.finals: OrderedDict[str, tuple[str, int]] = OrderedDict()
-        # Requests that wait for a read: (number, kind, job id, exchange). Numbered, for the clock
+        # Requests that wait for a read: (number, kind, job id, exchange); of kind `call` with a
+        # function, which hears whether the read went well, for an exchange. Numbered, for the clock
         # may stand still between a read that has been sent and a request that comes after it.
         self.waiting: list[tuple[int, str, str, Any]] = []
         self.asked = 0
@@ -99,6 +102,11 @@
             # Its record would not fit the state service, beside the sets of its tasks.
             self._reply(exchange, 400, u.Refusal("the submission is too long"))
             return
+        guards = [feature.guard(job.id) for feature in owner.features]
+        refusal = next((guard for guard in guards if isinstance(guard, str)), None)
+        if refusal is not None:
+            self._reply(exchange, 422, u.Refusal(refusal))
+            return
         if job.id in self.finals:
             self._tell_final("submit", job.id, exchange)
             return
@@ -122,7 +130,7 @@
         if len(owner.store.urgent) > 100:
             self.later(exchange, "too many requests at once", 2.0)
             return
-        self._store(job, exchange)
+        self._store(job, exchange, [guard for guard in guards if isinstance(guard, Guard)])
 
     def impossible(self, job: u.Job) -> str | None:
         """Why a job can never run, if it can't."""
@@ -142,14 +150,19 @@
             return f"needs more than the limit of team {job.team}"
         return None
 
-    def _store(self, spec: u.Job, exchange: Any) -> None:
+    def _store(self, spec: u.Job, exchange: Any, guards: list[Guard]) -> None:
         """Write a submission; where it fits this controller's free room, claimed already."""
         owner = self.owner
         job_id = spec.id
         self.submitting[job_id] = [exchange]
         record = JobRecord(spec, owner.wall())
-        conditions = [(JOB + job_id, 0), (OVER + job_id, 0)]
-        changes: list[wire.Put | wire.Drop] = [wire.Put(JOB + job_id, record)]
+        own = [(JOB + job_id, 0), (OVER + job_id, 0)]
+        more: list[wire.Put | wire.Drop] = []
+        for guard in guards:
+            own += guard.conditions
+            more += guard.changes
+        conditions = list(own)
+        changes: list[wire.Put | wire.Drop] = [wire.Put(JOB + job_id, record), *more]
         run = JobRun(record, 0)
         if run.service:
             owner.learning.settle(run)
@@ -158,16 +171,15 @@
             # Many at once: that each of them is durable soon comes before a larger allotment.
             claimed = None
         if claimed is not None:
-            changes, more = claimed
-            conditions += more
+            changes = claimed[0] + more
+            conditions += claimed[1]
 
         def done(result: Result) -> None:
             if result.outcome is Outcome.CONFLICT and claimed is not None:
-                mine = (JOB + job_id, OVER + job_id)
+                mine = [key for key, _ in own]
                 if not any(key in mine for key in result.failed):
-                    owner.commit(
-                        conditions[:2], [wire.Put(JOB + job_id, record)], stored, urgent=True
-                    )
+                    put = wire.Put(JOB + job_id, record)
+                    owner.commit(own, [put, *more], stored, urgent=True)
                     return
             stored(result)
 
@@ -190,9 +202,7 @@
                     self.await_read("submit", job_id, waiter)
             else:
                 for waiter in waiters:
-                    self.later(
-                        waiter, "the state service does not answer", owner.requests.retry_hint()
-                    )
+                    self.unanswered(waiter)
 
         owner.commit(conditions, changes, done, urgent=True)
 
@@ -255,6 +265,16 @@
             self.waiting.append((self.asked, kind, job_id, exchange))
             owner.sync.want_sync()
 
+    def after_read(self, call: Callable[[bool], None]) -> None:
+        """Call back after a read begun from now on; with False if it can't be had."""
+        owner = self.owner
+        if not owner.sync.connected() or len(self.waiting) > 2000:
+            call(False)
+            return
+        self.asked += 1
+        self.waiting.append((self.asked, "call", "", call))
+        owner.sync.want_sync()
+
     def read_done(self, asked: int, good: bool) -> None:
         """A read has ended that was sent after request number `asked` had come in."""
         owner = self.owner
@@ -263,10 +283,10 @@
             return
         self.waiting = [e for e in self.waiting if e[0] > asked] if good else []
         for _, kind, job_id, exchange in ready:
-            if not good:
-                self.later(
-                    exchange, "the state service does not answer", owner.requests.retry_hint()
-                )
+            if kind == "call":
+                exchange(good)
+            elif not good:
+                self.unanswered(exchange)
             elif (job := owner.jobs.get(job_id)) is not None:
                 if kind == "cancel":
                     self._cancel(job, exchange)
@@ -274,10 +294,10 @@
                     self._tell_live(kind, job, exchange)
             elif job_id in self.finals:
                 self._tell_final(kind, job_id, exchange)
-            else:
-                self._read_final(kind, job_id, exchange)
+            elif not any(f.look_up(kind, job_id, exchange) for f in owner.features):
+                self.read_final(kind, job_id, exchange)
 
-    def _read_final(self, kind: str, job_id: str, exchange: Any) -> None:
+    def read_final(self, kind: str, job_id: str, exchange: Any) -> None:
         """Not live: over, or never accepted."""
         owner = self.owner
         waiters = self.reading.setdefault(job_id, [])
@@ -312,6 +332,9 @@
 
     def _cancel(self, job: JobRun, exchange: Any) -> None:
         owner = self.owner
+        if job.home is not None:
+            job.home.cancel(job, exchange)
+            return
         key = JOB + job.id
         changes: list[wire.Put | wire.Drop] = [
             wire.Drop(key),
@@ -327,8 +350,6 @@
                 # The record moved on meanwhile: look again.
                 self.await_read("cancel", job.id, exchange)
             else:
-                self.later(
-                    exchange, "the state service does not answer", owner.requests.retry_hint()
-                )
+                self.unanswered(exchange)
 
         owner.commit([(key, job.stamp)], changes, done, urgent=True)
--- a/sagecove/storage/records.py
+++ b/sagecove/storage/records.py
@@ -4,6 +4,8 @@
 outside the watch: they only grow in number and are read one by one when a user asks.
 """
 
+from collections.abc import Iterable
+from itertools import chain
 from typing import Any
 
 import msgspec
@@ -102,9 +104,10 @@
 ]
 
 
-def parse(key: str, raw: Any) -> Any:
-    """A record from a decoded JSON value; None if it is garbage or of no known kind."""
-    for prefix, kind in _KINDS:
+def parse(key: str, raw: Any, more: Iterable[tuple[str, Any]] = ()) -> Any:
+    """A record from a decoded JSON value; None if it is garbage or of no known kind. `more`: kinds
+    beside the core's."""
+    for prefix, kind in chain(_KINDS, more):
         if key.startswith(prefix):
             try:
                 return msgspec.convert(raw, kind)
