--- a/sagecove/cli.py
+++ b/sagecove/cli.py
@@ -5,16 +5,12 @@
 import logging
 import os
 import sys
+from collections.abc import Callable
 from typing import Any
 
 from sagecove import __version__
-
-# Where controllers are asked: addresses with commas between, tried in this order.
-CONTROLLERS = "SAGECOVE_CONTROLLERS"
-
-
-class Failed(Exception):
-    """A command was refused or nobody answered: one line for the user, and status 1."""
+from sagecove.ask import CONTROLLERS, HERE, Failed, ask, read_json
+from sagecove.nouns import NOUNS
 
 
 def _logging() -> None:
@@ -38,6 +34,18 @@
     return value
 
 
+def _asking_parser() -> argparse.ArgumentParser:
+    asking = argparse.ArgumentParser(add_help=False)
+    asking.add_argument(
+        "--controllers",
+        metavar="HOST:PORT,...",
+        default=os.environ.get(CONTROLLERS, HERE),
+        help=f"whom to ask, in this order (default: ${CONTROLLERS}, else 127.0.0.1:8080)",
+    )
+    asking.add_argument("--json", action="store_true", help="print the answer as JSON")
+    return asking
+
+
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="sagecove", description="A cluster scheduler whose controllers compete for work."
@@ -73,15 +81,9 @@
     )
     check = commands.add_parser("check-config", help="check a settings file")
     check.add_argument("config", metavar="FILE", help="the settings file")
+    check.add_argument("--features", metavar="FILE", help="a features file to check with it")
 
-    asking = argparse.ArgumentParser(add_help=False)
-    asking.add_argument(
-        "--controllers",
-        metavar="HOST:PORT,...",
-        default=os.environ.get(CONTROLLERS, "127.0.0.1:8080"),
-        help=f"whom to ask, in this order (default: ${CONTROLLERS}, else 127.0.0.1:8080)",
-    )
-    asking.add_argument("--json", action="store_true", help="print the answer as JSON")
+    asking = _asking_parser()
     submit = commands.add_parser("submit", parents=[asking], help="submit a job")
     submit.add_argument("file", metavar="FILE", help="the job as JSON; - for standard input")
     for name, text in (
@@ -91,63 +93,30 @@
     ):
         command = commands.add_parser(name, parents=[asking], help=text)
         command.add_argument("job", metavar="JOB", help="the job's id")
+    for noun, text in (
+        ("sweep", "many jobs from one description (sagecove sweep --help)"),
+        ("template", "job descriptions with parameters (sagecove template --help)"),
+    ):
+        commands.add_parser(noun, add_help=False, help=text)
     commands.add_parser(
         "cluster", parents=[asking], help="members, shards, teams and machines in trouble"
     )
     return parser
 
 
-def _ask(controllers: str, method: str, path: str, body: bytes | None = None) -> Any:
-    """Ask the controllers in turn until one gives an answer that is not "not now"."""
-    import http.client
-
-    last = "no address"
-    for address in controllers.split(","):
-        try:
-            connection = http.client.HTTPConnection(address.strip(), timeout=5)
-            headers = {"Content-Type": "application/json"} if body is not None else {}
-            connection.request(method, path, body, headers)
-            answer = connection.getresponse()
-            content = json.loads(answer.read() or b"null")
-            connection.close()
-        except (OSError, http.client.HTTPException, ValueError) as error:
-            last = f"{address.strip()}: {error}"
-            continue
-        if answer.status in (200, 201):
-            return content
-        why = content.get("error", "") if isinstance(content, dict) else ""
-        last = f"{address.strip()} answers {answer.status}: {why}"
-        if answer.status not in (429, 503):
-            raise Failed(last)
-    raise Failed(f"no controller can answer ({last})")
-
-
-def _read_job(path: str) -> bytes:
-    if path == "-":
-        text, name = sys.stdin.read(), "standard input"
-    else:
-        with open(path, encoding="utf-8") as file:
-            text, name = file.read(), path
-    try:
-        json.loads(text)
-    except json.JSONDecodeError as error:
-        raise ValueError(f"{name}:{error.lineno}:{error.colno}: {error.msg}") from None
-    return text.encode()
-
-
 def _command(args: argparse.Namespace) -> Any:
     if args.command == "submit":
-        return _ask(args.controllers, "POST", "/api/jobs", _read_job(args.file))
+        return ask(args.controllers, "POST", "/api/jobs", read_json(args.file))
     if args.command == "cluster":
-        return _ask(args.controllers, "GET", "/cluster")
+        return ask(args.controllers, "GET", "/cluster")
     from urllib.parse import quote
 
     job = quote(args.job, safe="")
     if args.command == "status":
-        return _ask(args.controllers, "GET", f"/api/jobs/{job}")
+        return ask(args.controllers, "GET", f"/api/jobs/{job}")
     if args.command == "cancel":
-        return _ask(args.controllers, "POST", f"/api/jobs/{job}/cancel", b"")
-    return _ask(args.controllers, "GET", f"/explain/{job}")
+        return ask(args.controllers, "POST", f"/api/jobs/{job}/cancel", b"")
+    return ask(args.controllers, "GET", f"/explain/{job}")
 
 
 def _show(command: str, answer: dict[str, Any]) -> str:
@@ -195,9 +164,41 @@
     return "\n".join([*lines, f"(told by {answer['told_by']})"])
 
 
+def _told(args: argparse.Namespace) -> int:
+    answer = _command(args)
+    print(json.dumps(answer) if args.json else _show(args.command, answer))
+    return 0
+
+
+def _noun(argv: list[str]) -> int:
+    """A feature's part of the command line: loaded only when it is asked for."""
+    import importlib
+
+    commands = importlib.import_module(NOUNS[argv[0]])
+    args = commands.parser(_asking_parser(), argv[0]).parse_args(argv[1:])
+    return _asking(lambda: commands.run(args))
+
+
+def _asking(call: Callable[[], int]) -> int:
+    """Run what asks controllers; its exit status."""
+    try:
+        return call()
+    except Failed as error:
+        print(f"sagecove: {error}", file=sys.stderr)
+        return 1
+    except (OSError, ValueError) as error:
+        print(f"sagecove: {error}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        return 130
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run a command; its exit status: 0 success, 1 refused or failed, 2 usage or settings."""
-    args = _parser().parse_args(argv)
+    given = sys.argv[1:] if argv is None else argv
+    if given and given[0] in NOUNS:
+        return _noun(given)
+    args = _parser().parse_args(given)
     if args.command == "dev":
         from sagecove.lab.dev import run
 
@@ -205,20 +206,13 @@
             args.controllers, args.machines, args.time_scale, args.port, args.features, args.demo
         )
     if args.command not in ("serve", "check-config"):
-        try:
-            answer = _command(args)
-            print(json.dumps(answer) if args.json else _show(args.command, answer))
-        except Failed as error:
-            print(f"sagecove: {error}", file=sys.stderr)
-            return 1
-        except (OSError, ValueError) as error:
-            print(f"sagecove: {error}", file=sys.stderr)
-            return 2
-        return 0
+        return _asking(lambda: _told(args))
+    from sagecove import features
     from sagecove.config import SettingsError, load
 
     try:
         settings = load(args.config)
+        chosen = features.load(args.features) if args.features else []
     except SettingsError as error:
         print(f"sagecove: {error}", file=sys.stderr)
         return 2
@@ -228,5 +222,5 @@
     _logging()
     from sagecove.service import serve
 
-    serve(settings)
+    serve(settings, chosen)
     return 0
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -50,12 +50,13 @@
 
     # -- answers --------------------------------------------------------------------------------
 
-    def _reply(self, exchange: Any, status: int, body: Any, retry: float | None = None) -> None:
+    def reply(self, exchange: Any, status: int, body: Any, retry: float | None = None) -> None:
+        """Answer a request."""
         self.owner.effects.append(Reply(exchange, status, body, retry))
 
     def later(self, exchange: Any, why: str, retry: float = 1.0) -> None:
         """The service can't answer now: say so at once, and when to come back."""
-        self._reply(exchange, 503, u.Refusal(why), retry)
+        self.reply(exchange, 503, u.Refusal(why), retry)
 
     def unanswered(self, exchange: Any) -> None:
         """The state service does not answer."""
@@ -73,9 +74,9 @@
         state, tasks = self.finals[job_id]
         if kind == "status":
             done = tasks if state == u.DONE else 0
-            self._reply(exchange, 200, u.Status(job_id, state, done, 0))
+            self.reply(exchange, 200, u.Status(job_id, state, done, 0))
         else:
-            self._reply(exchange, 200, u.Status(job_id, state))
+            self.reply(exchange, 200, u.Status(job_id, state))
 
     def _tell_live(self, kind: str, job: JobRun, exchange: Any) -> None:
         owner = self.owner
@@ -84,9 +85,9 @@
         running += owner.peers.running_elsewhere(job.id)
         state = u.RUNNING if running else u.PENDING
         if kind == "status":
-            self._reply(exchange, 200, u.Status(job.id, state, done, running))
+            self.reply(exchange, 200, u.Status(job.id, state, done, running))
         else:
-            self._reply(exchange, 200, u.Status(job.id, state))
+            self.reply(exchange, 200, u.Status(job.id, state))
 
     # -- requests -------------------------------------------------------------------------------
 
@@ -96,16 +97,16 @@
         try:
             job = u.read_job(body)
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-            self._reply(exchange, 400, u.Refusal(str(error)[:300]))
+            self.reply(exchange, 400, u.Refusal(str(error)[:300]))
             return
         if len(body) > owner.settings.params.state.value_kb * 512:
             # Its record would not fit the state service, beside the sets of its tasks.
-            self._reply(exchange, 400, u.Refusal("the submission is too long"))
+            self.reply(exchange, 400, u.Refusal("the submission is too long"))
             return
         guards = [feature.guard(job.id) for feature in owner.features]
         refusal = next((guard for guard in guards if isinstance(guard, str)), None)
         if refusal is not None:
-            self._reply(exchange, 422, u.Refusal(refusal))
+            self.reply(exchange, 422, u.Refusal(refusal))
             return
         if job.id in self.finals:
             self._tell_final("submit", job.id, exchange)
@@ -194,9 +195,9 @@
                     spec.tasks,
                 )
                 for waiter in waiters[:1]:
-                    self._reply(waiter, 201, u.Status(job_id, u.PENDING))
+                    self.reply(waiter, 201, u.Status(job_id, u.PENDING))
                 for waiter in waiters[1:]:
-                    self._reply(waiter, 200, u.Status(job_id, u.PENDING))
+                    self.reply(waiter, 200, u.Status(job_id, u.PENDING))
             elif result.outcome is Outcome.CONFLICT:
                 for waiter in waiters:
                     self.await_read("submit", job_id, waiter)
@@ -253,7 +254,7 @@
         """Answer from memory if the state is final, else after a read begun from now on."""
         owner = self.owner
         if not u.JOB_ID.match(job_id):
-            self._reply(exchange, 404, u.Refusal("no such job"))
+            self.reply(exchange, 404, u.Refusal("no such job"))
         elif job_id in self.finals:
             self._tell_final(kind, job_id, exchange)
         elif not owner.sync.connected():
@@ -322,11 +323,11 @@
                     self.later(exchange, "the state service does not answer")
                 elif kind.startswith("refuse:"):
                     log.info("refused job=%s why=%s", job_id, kind[7:])
-                    self._reply(exchange, 422, u.Refusal(kind[7:]))
+                    self.reply(exchange, 422, u.Refusal(kind[7:]))
                 elif kind == "submit":
                     self.later(exchange, "try again")
                 else:
-                    self._reply(exchange, 404, u.Refusal("no such job"))
+                    self.reply(exchange, 404, u.Refusal("no such job"))
 
         owner.store.read(owner.now, OVER + job_id, done)
 
@@ -345,7 +346,7 @@
             if result.outcome is Outcome.DONE:
                 log.info("cancelled job=%s", job.id)
                 owner.peers.hint_cancel(job.id)
-                self._reply(exchange, 200, u.Status(job.id, u.CANCELLED))
+                self.reply(exchange, 200, u.Status(job.id, u.CANCELLED))
             elif result.outcome is Outcome.CONFLICT:
                 # The record moved on meanwhile: look again.
                 self.await_read("cancel", job.id, exchange)
--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -23,8 +23,9 @@
 class World(Rules):
     """Controllers and stand-ins, advanced together; the rules are checked at every start."""
 
-    def __init__(self, nodes: int = 3, seed: int = 1) -> None:
+    def __init__(self, nodes: int = 3, seed: int = 1, features: Any = None) -> None:
         super().__init__()
+        self.features = features
         self.now = 1000.0
         self.random = Random(seed)
         self.events: list[tuple[float, int, Callable[[], None]]] = []
@@ -69,6 +70,35 @@
             self.run(0.1)
         return self.now - begun
 
+    def describe(self, job_id: str, done: Callable[[dict[str, Any] | None], None]) -> None:
+        """What its user uploaded; a sweep's point is described by any controller."""
+        if job_id in self.specs or not self.features:
+            done(self.specs.get(job_id))
+            return
+        left = self.controllers()
+        self.random.shuffle(left)
+
+        def ask() -> None:
+            if not left:
+                done(None)
+                return
+            answered = [False]
+
+            def answer(status: int | None, body: bytes) -> None:
+                if answered[0]:
+                    return
+                answered[0] = True
+                if status == 200:
+                    self.specs[job_id] = json.loads(body)
+                    done(self.specs[job_id])
+                else:
+                    ask()
+
+            self.ask(left.pop(), "GET", f"/api/jobs/{job_id}/description", b"", answer)
+            self.later(2.0, lambda: answer(None, b""))
+
+        ask()
+
     def controllers(self) -> list[str]:
         return sorted(self.owners)
 
@@ -77,7 +107,7 @@
     def boot_node(self, number: int) -> None:
         name = f"n{number}"
         self.owners[name] = Owner(
-            settings(number, self.nodes), Random(number + 7), self.now, self.now
+            settings(number, self.nodes), Random(number + 7), self.now, self.now, self.features
         )
         self.inbox[name] = []
 
--- /dev/null
+++ b/sagecove/nouns.py
@@ -0,0 +1,3 @@
+"""Nouns of the command line that features bring, and the modules that have their verbs."""
+
+NOUNS = {"sweep": "sagecove.sweeps.commands", "template": "sagecove.sweeps.commands"}
--- a/sagecove/service.py
+++ b/sagecove/service.py
@@ -12,6 +12,7 @@
 from sagecove.config import Settings, split_address
 from sagecove.coordination.effects import Answered, Asked, Call, Reply
 from sagecove.coordination.owner import Owner
+from sagecove.features import Chosen, maker
 from sagecove.transport.client import Client
 from sagecove.transport.server import Exchange, Server
 
@@ -24,10 +25,10 @@
 class Service:
     """A controller process."""
 
-    def __init__(self, settings: Settings, reactor: Any) -> None:
+    def __init__(self, settings: Settings, reactor: Any, chosen: Chosen) -> None:
         self.settings = settings
         self.reactor = reactor
-        self.owner = Owner(settings, Random(), time.monotonic(), time.time())
+        self.owner = Owner(settings, Random(), time.monotonic(), time.time(), maker(chosen))
         self.queue: deque[Asked | Answered] = deque()
         self.timer: Any = None
         self.scheduled = False
@@ -130,9 +131,9 @@
         )
 
 
-def serve(settings: Settings) -> None:
+def serve(settings: Settings, chosen: Chosen) -> None:
     """Run a controller until it is killed."""
     from twisted.internet import reactor
 
-    Service(settings, reactor).start()
+    Service(settings, reactor, chosen).start()
     reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined]
--- /dev/null
+++ b/sagecove/sweeps/claims.py
@@ -0,0 +1,356 @@
+"""Blocks: ranges of a sweep's points, claimed, given back and finished in one write for many.
+
+The core decides for each point as for any job. What it decides in a pass is gathered by block and
+written together, on three conditions: the block is as it was, the shard is held under this term,
+the sweep is alive. So a claim lost, a holder replaced and a sweep cancelled meanwhile all make the
+write fail as a whole, and the next pass starts from what is then known.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from sagecove.coordination.model import JobRun, Shard
+from sagecove.protocol import state as wire
+from sagecove.protocol.users import CANCELLED, DONE, Status
+from sagecove.storage import taskset
+from sagecove.storage.records import HOLDER, QUOTA, JobRecord
+from sagecove.storage.store import Outcome, Result
+from sagecove.sweeps.model import Sweep, decoded, members
+from sagecove.sweeps.records import BLOCK, SWEEP, BlockRecord, block_key, point_id
+
+if TYPE_CHECKING:
+    from sagecove.sweeps.decisions import Sweeps
+
+log = logging.getLogger("sagecove.sweeps")
+
+# A point that is done waits so long for others of its block to be written with it: PROTOCOL gives
+# 3 s until its user expects to be told.
+DONE_WAIT_S = 1.0
+# Teams whose allotments may grow in one write, beside the block itself.
+TEAMS_MOST = 6
+
+
+class Block:
+    """A block of a live sweep, and the home of its points' jobs."""
+
+    def __init__(self, feature: Sweeps, sweep: Sweep, number: int) -> None:
+        self.feature = feature
+        self.owner = feature.owner
+        self.sweep = sweep
+        self.number = number
+        self.first = number * sweep.block
+        self.size = min(sweep.block, sweep.size - self.first)
+        self.key = block_key(BLOCK, sweep.id, number)
+        self.stamp = 0
+        self.claims: dict[str, int] = {}
+        self.done = 0
+        self.cancelled = 0
+        self.failed: dict[int, str] = {}
+        # Left out by the filter: known once the block has been looked through.
+        self.left_out = 0
+        self.scanned = False
+        self.over_since: float | None = None
+        # What the core has decided and is to be written: number to job and shard.
+        self.claiming: dict[int, tuple[JobRun, Shard]] = {}
+        self.giving: dict[int, tuple[JobRun, Shard]] = {}
+        self.finishing: dict[int, tuple[JobRun, Shard]] = {}
+        # Points found bad, to be written: number to reason; and since when.
+        self.bad: dict[int, str] = {}
+        self.bad_at = 0.0
+        self.due = 0.0
+        self.busy = False
+
+    # -- the record -----------------------------------------------------------------------------
+
+    @property
+    def over(self) -> int:
+        """Points that are over."""
+        bits = self.done | self.cancelled
+        for k in self.failed:
+            bits |= 1 << k
+        return bits
+
+    @property
+    def complete(self) -> bool:
+        """All points are over, or left out."""
+        return self.scanned and (self.over | self.left_out) == taskset.full(self.size)
+
+    def record(self) -> BlockRecord:
+        """The record as it stands."""
+        return BlockRecord(
+            {s: taskset.encode(bits) for s, bits in self.claims.items() if bits},
+            taskset.encode(self.done),
+            taskset.encode(self.cancelled),
+            {str(k): why for k, why in self.failed.items()},
+        )
+
+    def update(self, record: BlockRecord, stamp: int) -> None:
+        """Take over a newer record: points are claimed, given back, over."""
+        owner, sweep = self.owner, self.sweep
+        before_over, before = self.over, self.claims
+        self.stamp = stamp
+        self.claims, self.done, self.cancelled, self.failed = decoded(record, self.size)
+        over = self.over
+        for k in members(over & ~before_over):
+            sweep.forget(self.first + k)
+            job_id = point_id(sweep.id, self.first + k)
+            job = owner.jobs.get(job_id)
+            if job is not None:
+                owner.job_over(job)
+            if self.done >> k & 1:
+                owner.users.final(job_id, DONE, 1)
+            elif self.cancelled >> k & 1:
+                owner.users.final(job_id, CANCELLED, 1)
+        gone = 0
+        for bits in before.values():
+            gone |= bits
+        for shard, bits in self.claims.items():
+            gone &= ~bits
+            for k in members(bits & ~before.get(shard, 0) & ~over):
+                self._claimed(k, shard)
+        for k in members(gone & ~over):
+            self._given_back(k)
+
+    def _run(self, k: int) -> JobRun | None:
+        """The job of a point, made if it is not there yet."""
+        job_id = point_id(self.sweep.id, self.first + k)
+        job = self.owner.jobs.get(job_id)
+        if job is None:
+            spec = self.sweep.spec(self.first + k)
+            if spec is None or isinstance(spec, str):
+                return None
+            # A moment apart, so that among equals the lower number comes first.
+            at = self.sweep.record.at + 1e-6 * (self.first + k)
+            job = JobRun(JobRecord(spec, at), self.stamp)
+            job.home = self
+            self.owner.job_seen(job)
+        return job
+
+    def _claimed(self, k: int, shard: str) -> None:
+        job = self._run(k)
+        self.sweep.forget(self.first + k)
+        if job is not None:
+            job.update(JobRecord(job.spec, job.at, {shard: "0"}), self.stamp)
+
+    def _given_back(self, k: int) -> None:
+        job = self._run(k)
+        if job is not None:
+            job.update(JobRecord(job.spec, job.at), self.stamp)
+            self.sweep.group(job.spec).open |= 1 << (self.first + k)
+
+    def open(self, k: int) -> None:
+        """A waiting point becomes a job that may be claimed."""
+        job = self._run(k)
+        bit = 1 << (self.first + k)
+        if job is not None:
+            group = self.sweep.group(job.spec)
+            group.waiting &= ~bit
+            group.open |= bit
+
+    # -- what the core decides ------------------------------------------------------------------
+
+    def _number(self, job: JobRun) -> int:
+        return int(job.id.rpartition(".p")[2]) - self.first
+
+    def claim(self, job: JobRun, shard: Shard, bits: int) -> None:
+        """Claim a point, see `ports.Home`."""
+        self.claiming[self._number(job)] = (job, shard)
+        self.feature.touched[self.key] = self
+
+    def release(self, job: JobRun, shard: Shard, bits: int) -> None:
+        """Give a point back."""
+        job.committing = True
+        self.giving[self._number(job)] = (job, shard)
+        self.feature.touched[self.key] = self
+
+    def finished(self, job: JobRun, shard: Shard) -> None:
+        """A point has completed."""
+        job.committing = True
+        if not self.finishing:
+            self.due = self.owner.now + DONE_WAIT_S
+        self.finishing[self._number(job)] = (job, shard)
+        self.feature.touched[self.key] = self
+
+    def cancel(self, job: JobRun, exchange: Any) -> None:
+        """Cancel a point."""
+        self.cancel_point(self._number(job), exchange)
+
+    def cancel_point(self, k: int, exchange: Any) -> None:
+        """Cancel a point, a job here or not, and answer its user once that is durable."""
+        owner, users = self.owner, self.owner.users
+        job_id = point_id(self.sweep.id, self.first + k)
+        record = self.record()
+        for shard, bits in self.claims.items():
+            if bits >> k & 1:
+                record.claims[shard] = taskset.encode(bits & ~(1 << k))
+        record.claims = {shard: text for shard, text in record.claims.items() if text}
+        record.cancelled = taskset.encode(self.cancelled | 1 << k)
+
+        def done(result: Result) -> None:
+            if result.outcome is Outcome.DONE:
+                # Promises in an outage rest on who knows of which cancellation.
+                owner.leadership.cancels = max(owner.leadership.cancels, result.revision)
+                owner.peers.hint_cancel(job_id)
+                log.info("cancelled job=%s", job_id)
+                users.reply(exchange, 200, Status(job_id, CANCELLED))
+            elif result.outcome is Outcome.CONFLICT:
+                users.await_read("cancel", job_id, exchange)
+            else:
+                users.unanswered(exchange)
+
+        conditions = [(self.key, self.stamp), (SWEEP + self.sweep.id, self.sweep.stamp)]
+        owner.commit(conditions, [wire.Put(self.key, record)], done, urgent=True)
+
+    # -- writing --------------------------------------------------------------------------------
+
+    def flush(self, now: float) -> bool:
+        """Write what is to be written, as far as it may be; whether nothing is left."""
+        if self.busy:
+            return False
+        acting = {name: self.owner.held[name] for name in self.owner.shards.acting_shards(now)}
+        self._drop_stale(acting)
+        queued = (self.claiming, self.giving, self.finishing)
+        if not any(queued):
+            return not self._write_bad(now, acting)
+        if not self.claiming and not self.giving and now < self.due and not self._last():
+            return False
+        # One shard at a time: a write is conditional on one term.
+        shard = next(s for queue in queued for _, s in queue.values())
+        self._write(shard)
+        return not any(queued)
+
+    def _last(self) -> bool:
+        """What is finishing ends all that is claimed of the block: nothing more will come soon."""
+        claimed = 0
+        for bits in self.claims.values():
+            claimed |= bits
+        return claimed.bit_count() <= len(self.finishing)
+
+    def _drop_stale(self, acting: dict[str, Shard]) -> None:
+        """What was decided under a term that is over, or for a job that is, is void."""
+        for queue in (self.claiming, self.giving, self.finishing):
+            for k, (job, shard) in list(queue.items()):
+                if (
+                    acting.get(shard.name) is not shard
+                    or self.owner.jobs.get(job.id) is not job
+                    or self.over >> k & 1
+                ):
+                    del queue[k]
+                    _settle(job)
+
+    def _write(self, shard: Shard) -> None:
+        owner = self.owner
+        claiming = _of(self.claiming, shard)
+        giving = _of(self.giving, shard)
+        finishing = _of(self.finishing, shard)
+        changes: list[wire.Put | wire.Drop] = []
+        conditions = [
+            (self.key, self.stamp),
+            (HOLDER + shard.name, shard.term),
+            (SWEEP + self.sweep.id, self.sweep.stamp),
+        ]
+        for team in list(dict.fromkeys(job.spec.team for job, _ in claiming.values())):
+            grown = owner.quota.grown_by(shard.name, team, 0.0, 0.0)
+            if grown is None or len(changes) == TEAMS_MOST:
+                # The limit stands against it by now: they are left to the next pass.
+                for k, (job, _) in list(claiming.items()):
+                    if job.spec.team == team:
+                        del claiming[k]
+                        _settle(job)
+                        job.claim_after = owner.now + owner.claims.poll_s / 2
+            elif grown is not owner.quota.record(team):
+                changes.append(wire.Put(QUOTA + team, grown))
+                conditions.append((QUOTA + team, owner.mirror.stamp(QUOTA + team)))
+        if not claiming and not giving and not finishing:
+            return
+        record = self.record()
+        bits = self.claims.get(shard.name, 0)
+        for k in claiming:
+            bits |= 1 << k
+        for k in (*giving, *finishing):
+            bits &= ~(1 << k)
+        record.claims.pop(shard.name, None)
+        if bits:
+            record.claims[shard.name] = taskset.encode(bits)
+        done = self.done
+        for k in finishing:
+            done |= 1 << k
+        record.done = taskset.encode(done)
+        self._commit(
+            shard,
+            conditions,
+            [wire.Put(self.key, record), *changes],
+            [job for job, _ in (claiming | finishing).values()],
+            [job for job, _ in giving.values()],
+        )
+
+    def _commit(
+        self,
+        shard: Shard,
+        conditions: list[tuple[str, int]],
+        changes: list[wire.Put | wire.Drop],
+        jobs: list[JobRun],
+        giving: list[JobRun],
+    ) -> None:
+        owner = self.owner
+        self.busy = True
+
+        def done(result: Result) -> None:
+            owner.dirty = True
+            if result.outcome is Outcome.UNKNOWN and giving and owner.held.get(shard.name) is shard:
+                # It may be executed late: what is being given back is placed by nobody until a
+                # repetition has settled it. Once the term is over it can't be executed any more.
+                self._commit(shard, conditions, changes, jobs, giving)
+                return
+            self.busy = False
+            for job in jobs + giving:
+                _settle(job)
+                if result.outcome is not Outcome.DONE:
+                    job.claim_after = owner.now + owner.random.uniform(0.05, 0.5)
+            if result.outcome is Outcome.DONE:
+                for job in giving:
+                    job.claim_after = owner.now + owner.random.uniform(0.5, 1.5)
+            else:
+                owner.count("block_conflicts")
+                owner.sync.want_sync()
+
+        owner.commit(conditions, changes, done)
+
+    def _write_bad(self, now: float, acting: dict[str, Shard]) -> bool:
+        """Write down which points can't run. Whose block it is does it; if that controller does
+        not, another does. True if there is more to do."""
+        self.bad = {k: why for k, why in self.bad.items() if not self.over >> k & 1}
+        if not self.bad:
+            return False
+        shard = acting.get(self.owner.settings.node)
+        patience = 0.0 if self.number in self.sweep.own_blocks else self.owner.leadership.length
+        if shard is None or now < self.bad_at + patience:
+            return True
+        record = self.record()
+        for k, why in sorted(self.bad.items()):
+            record.failed[str(k)] = why[:200]
+            log.info("point failed job=%s why=%s", point_id(self.sweep.id, self.first + k), why)
+        conditions = [
+            (self.key, self.stamp),
+            (HOLDER + shard.name, shard.term),
+            (SWEEP + self.sweep.id, self.sweep.stamp),
+        ]
+        self._commit(shard, conditions, [wire.Put(self.key, record)], [], [])
+        return True
+
+
+def _of(queue: dict[int, tuple[JobRun, Shard]], shard: Shard) -> dict[int, tuple[JobRun, Shard]]:
+    """What of a queue belongs to a shard, taken out of it."""
+    taken = {k: entry for k, entry in queue.items() if entry[1] is shard}
+    for k in taken:
+        del queue[k]
+    return taken
+
+
+def _settle(job: JobRun) -> None:
+    """Nothing of a job is being written any more."""
+    job.committing = False
+    job.claiming = None
+    job.releasing = 0
--- /dev/null
+++ b/sagecove/sweeps/commands.py
@@ -0,0 +1,261 @@
+"""`sagecove template` and `sagecove sweep`: the command line's part of sweeps."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+from sagecove.ask import Failed, ask, read_json
+
+WAIT_S = 2.0
+OVER = ("done", "aborted")
+
+
+def _path(*parts: str) -> str:
+    return "/api/" + "/".join(quote(part, safe="") for part in parts)
+
+
+def _post(args: argparse.Namespace, path: str, body: Any) -> Any:
+    return ask(args.controllers, "POST", path, json.dumps(body).encode())
+
+
+def parser(asking: argparse.ArgumentParser, noun: str) -> argparse.ArgumentParser:
+    """The parser of a noun; `asking` has the options of all commands that ask controllers."""
+    if noun == "template":
+        return _template_parser(asking)
+    top = argparse.ArgumentParser(
+        prog="sagecove sweep", description="Sweeps: many jobs from one description."
+    )
+    verbs = top.add_subparsers(dest="verb", required=True, metavar="VERB")
+
+    def verb(name: str, text: str, run: Callable[..., Any]) -> argparse.ArgumentParser:
+        made = verbs.add_parser(name, parents=[asking], help=text, description=text)
+        made.set_defaults(run=run)
+        return made
+
+    submit = verb("submit", "Submit a sweep.", _submit)
+    submit.add_argument("file", metavar="FILE", help="the sweep as JSON; - for standard input")
+    submit.add_argument("--wait", action="store_true", help="until it is over, with progress")
+    preview = verb("preview", "What a sweep would expand into; submits nothing.", _preview)
+    preview.add_argument("file", metavar="FILE", help="the sweep as JSON; - for standard input")
+    verb("list", "Sweeps under way.", _list)
+    status = verb("status", "How far a sweep is, and which points failed.", _status)
+    status.add_argument("--wait", action="store_true", help="until it is over, with progress")
+    points = verb("points", "A sweep's points, with their values and states.", _points)
+    states = ["pending", "running", "done", "failed", "aborted", "left_out"]
+    points.add_argument("--state", choices=states, help="only those")
+    points.add_argument("--from", dest="first", type=int, default=0, metavar="K")
+    points.add_argument("--most", type=int, default=100, metavar="N", help="default: 100")
+    cancel = verb("cancel", "Cancel all points that are not over.", _cancel)
+    retry = verb("retry", "Submit the failed points of a sweep as a new one.", _retry)
+    retry.add_argument("--failed", action="store_true", help="those that failed (the default)")
+    retry.add_argument("--cancelled", action="store_true", help="those that were cancelled")
+    for made in (status, points, cancel, retry):
+        made.add_argument("sweep", metavar="SWEEP", help="the sweep's id")
+    retry.add_argument("new", metavar="NEW", help="id of the new sweep")
+    return top
+
+
+def _template_parser(asking: argparse.ArgumentParser) -> argparse.ArgumentParser:
+    top = argparse.ArgumentParser(
+        prog="sagecove template", description="Templates: job descriptions with parameters."
+    )
+    verbs = top.add_subparsers(dest="verb", required=True, metavar="VERB")
+    put = verbs.add_parser("put", parents=[asking], help="keep a new version")
+    put.add_argument("file", metavar="FILE", help="the template as JSON; - for standard input")
+    put.set_defaults(run=_template_put)
+    verbs.add_parser("list", parents=[asking], help="all templates").set_defaults(
+        run=_template_list
+    )
+    show = verbs.add_parser("show", parents=[asking], help="a version, or the newest")
+    diff = verbs.add_parser("diff", parents=[asking], help="what differs between two versions")
+    for made in (show, diff):
+        made.add_argument("name", metavar="NAME", help="the template's name")
+    show.add_argument("version", metavar="VERSION", type=int, nargs="?")
+    show.set_defaults(run=_template_show)
+    diff.add_argument("old", metavar="OLD", type=int, help="a version's number")
+    diff.add_argument("new", metavar="NEW", type=int, nargs="?", help="default: the newest")
+    diff.set_defaults(run=_template_diff)
+    submit = verbs.add_parser("submit", parents=[asking], help="submit one job of a template")
+    submit.add_argument("name", metavar="NAME", help="the template's name")
+    submit.add_argument("job", metavar="JOB", help="the job's id")
+    submit.add_argument("values", metavar="NAME=VALUE", nargs="*", help="values as JSON, or texts")
+    submit.add_argument("--version", type=int, help="default: the newest")
+    submit.set_defaults(run=_template_submit)
+    return top
+
+
+def run(args: argparse.Namespace) -> int:
+    """Run a command; the exit status. Raises `Failed` and `ValueError`."""
+    status: int = args.run(args)
+    return status
+
+
+def _print(args: argparse.Namespace, answer: Any, lines: list[str]) -> int:
+    print(json.dumps(answer) if args.json else "\n".join(lines))
+    return 0
+
+
+# -- sweeps -------------------------------------------------------------------------------------
+
+
+def _submit(args: argparse.Namespace) -> int:
+    body = read_json(args.file)
+    answer = ask(args.controllers, "POST", _path("sweeps"), body)
+    if args.wait:
+        args.sweep = answer["id"]
+        return _follow(args)
+    points = answer["points"]
+    return _print(args, answer, [f"{answer['id']}: {answer['state']}, {points} points"])
+
+
+def _preview(args: argparse.Namespace) -> int:
+    answer = ask(args.controllers, "POST", _path("sweeps", "preview"), read_json(args.file))
+    lines = [f"{answer['points']} points, the first of them:"]
+    for point in answer["first"]:
+        values = json.dumps(point["values"])
+        lines.append(f"  {point['point']}: {values}  {point.get('failed', 'can run')}")
+    return _print(args, answer, lines)
+
+
+def _list(args: argparse.Namespace) -> int:
+    answer = ask(args.controllers, "GET", _path("sweeps"))
+    return _print(args, answer, [_line(s) for s in answer["sweeps"]] or ["no sweep is under way"])
+
+
+def _line(answer: dict[str, Any]) -> str:
+    answer = {**answer, "starting": max(0, answer["claimed"] - answer["running"])}
+    parts = [
+        f"{answer[name]} {text}"
+        for name, text in (
+            ("done", "done"),
+            ("running", "running"),
+            ("starting", "starting"),
+            ("waiting", "waiting"),
+            ("failed", "failed"),
+            ("cancelled", "cancelled"),
+            ("left_out", "left out"),
+        )
+        if answer[name] or name == "done"
+    ]
+    return f"{answer['id']}: {answer['state']}, {answer['points']} points: {', '.join(parts)}"
+
+
+def _status(args: argparse.Namespace) -> int:
+    if args.wait:
+        return _follow(args)
+    answer = ask(args.controllers, "GET", _path("sweeps", args.sweep))
+    return _print(args, answer, [_line(answer), *_failures(answer)])
+
+
+def _failures(answer: dict[str, Any]) -> list[str]:
+    return [f"  point {f['point']} failed: {f['why']}" for f in answer["failures"]]
+
+
+def _follow(args: argparse.Namespace) -> int:
+    """Ask until the sweep is over; 0 if all its points are done, 1 if some failed or were
+    cancelled. Progress goes to standard error, on a terminal only."""
+    while True:
+        try:
+            answer = ask(args.controllers, "GET", _path("sweeps", args.sweep))
+        except Failed as error:
+            if error.status not in (None, 429, 503, 504):
+                raise
+        else:
+            if answer["state"] in OVER:
+                break
+            if sys.stderr.isatty():
+                print(f"\r\x1b[K{_line(answer)}", end="", file=sys.stderr, flush=True)
+        time.sleep(WAIT_S)
+    if sys.stderr.isatty():
+        print("\r\x1b[K", end="", file=sys.stderr)
+    _print(args, answer, [_line(answer)])
+    return 0 if answer["state"] == "done" and not answer["failed"] + answer["cancelled"] else 1
+
+
+def _points(args: argparse.Namespace) -> int:
+    query = f"?from={args.first}&most={args.most}" + (f"&state={args.state}" if args.state else "")
+    found: list[dict[str, Any]] = []
+    while True:
+        answer = ask(args.controllers, "GET", _path("sweeps", args.sweep, "points") + query)
+        found += answer["points"]
+        left = args.most - len(found)
+        if answer["next"] is None or left <= 0:
+            break
+        query = f"?from={answer['next']}&most={left}"
+        query += f"&state={args.state}" if args.state else ""
+    lines = [
+        f"{p['job']}: {p['state']} {json.dumps(p['values'])}{'  ' + p['why'] if 'why' in p else ''}"
+        for p in found
+    ]
+    return _print(args, {"points": found, "next": answer["next"]}, lines or ["no such point"])
+
+
+def _cancel(args: argparse.Namespace) -> int:
+    answer = ask(args.controllers, "POST", _path("sweeps", args.sweep, "cancel"), b"")
+    return _print(args, answer, [_line(answer)])
+
+
+def _retry(args: argparse.Namespace) -> int:
+    states = [s for s in ("failed", "cancelled") if getattr(args, s)] or ["failed"]
+    body = {"id": args.new, "states": states}
+    answer = _post(args, _path("sweeps", args.sweep, "retry"), body)
+    return _print(args, answer, [f"{answer['id']}: {answer['state']}"])
+
+
+# -- templates ----------------------------------------------------------------------------------
+
+
+def _template_put(args: argparse.Namespace) -> int:
+    answer = ask(args.controllers, "POST", _path("templates"), read_json(args.file))
+    return _print(args, answer, [f"{answer['name']}: version {answer['version']}"])
+
+
+def _template_list(args: argparse.Namespace) -> int:
+    answer = ask(args.controllers, "GET", _path("templates"))
+    lines = [f"{t['name']}: version {t['version']}  {t['about']}" for t in answer["templates"]]
+    return _print(args, answer, lines or ["there are no templates"])
+
+
+def _get_template(args: argparse.Namespace, version: int | None) -> Any:
+    query = f"?version={version}" if version is not None else ""
+    return ask(args.controllers, "GET", _path("templates", args.name) + query)
+
+
+def _template_show(args: argparse.Namespace) -> int:
+    answer = _get_template(args, args.version)
+    return _print(args, answer, [json.dumps(answer, indent=2)])
+
+
+def _template_diff(args: argparse.Namespace) -> int:
+    import msgspec
+
+    from sagecove.sweeps.records import Template
+    from sagecove.sweeps.template import differences
+
+    old, new = (
+        msgspec.convert(_get_template(args, version), Template) for version in (args.old, args.new)
+    )
+    found = differences(old, new)
+    answer = {"old": old.version, "new": new.version, "differences": found}
+    return _print(args, answer, found or [f"versions {old.version} and {new.version} are alike"])
+
+
+def _template_submit(args: argparse.Namespace) -> int:
+    values = {}
+    for given in args.values:
+        name, sign, text = given.partition("=")
+        if not sign:
+            raise ValueError(f"{given}: must be NAME=VALUE")
+        try:
+            values[name] = json.loads(text)
+        except json.JSONDecodeError:
+            values[name] = text
+    body = {"nameId": args.job, "values": values, "version": args.version}
+    answer = _post(args, _path("templates", args.name, "jobs"), body)
+    return _print(args, answer, [f"{answer['nameId']}: {answer['standing']}"])
--- /dev/null
+++ b/sagecove/sweeps/decisions.py
@@ -0,0 +1,355 @@
+"""Sweeps as a controller deals with them: which points are jobs now, and which blocks are over.
+
+No I/O: keys come in by the mirror, writes go out by the owner's transactions. A few hundred points
+of a sweep are jobs at a time, the next to be claimed; the rest are bits. Each controller looks
+through all points once, at a bounded pace, so that a bad one is found without the rest being tried.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Any
+
+from sagecove.coordination.ports import Guard
+from sagecove.protocol import state as wire
+from sagecove.protocol.users import DONE
+from sagecove.storage import taskset
+from sagecove.storage.mirror import Event
+from sagecove.storage.store import Outcome, Result
+from sagecove.sweeps import records as r
+from sagecove.sweeps.claims import Block
+from sagecove.sweeps.model import Group, Sweep, members
+
+if TYPE_CHECKING:
+    from sagecove.coordination.effects import Asked
+    from sagecove.coordination.owner import Owner
+    from sagecove.sweeps.routes import Routes
+
+log = logging.getLogger("sagecove.sweeps")
+
+# Points looked through in a pass; fewer once there are enough to choose from.
+SCAN_POINTS = 256
+SCAN_SLOWLY = 64
+# Blocks that one write ends: each is removed and kept, beside the progress (`txn_ops` bounds it).
+CLOSE_CONDITIONS = 40
+
+
+class Sweeps:
+    """The feature. `window`: so many unclaimed points are jobs at a time, over all sweeps."""
+
+    def __init__(self, owner: Owner, points_most: int, window: int) -> None:
+        self.owner = owner
+        self.points_most = points_most
+        self.window = window
+        self.records: list[tuple[str, Any]] = [
+            (r.SWEEP, r.SweepRecord),
+            (r.BLOCK, r.BlockRecord),
+            (r.PROGRESS, r.ProgressRecord),
+        ]
+        self.sweeps: dict[str, Sweep] = {}
+        # Blocks as the mirror has them, their sweep known or not: by sweep and number.
+        self.stored: dict[str, dict[int, tuple[r.BlockRecord, int]]] = {}
+        self.touched: dict[str, Block] = {}
+        self.clearing = False
+        self._routes: Routes | None = None
+
+    # -- the mirror -----------------------------------------------------------------------------
+
+    def changed(self, event: Event) -> None:
+        """A key of ours has changed."""
+        if event.key.startswith(r.BLOCK):
+            self._block_changed(event)
+        elif event.key.startswith(r.PROGRESS):
+            sweep = self.sweeps.get(event.key[len(r.PROGRESS) :])
+            if sweep is not None and event.value is not None:
+                self._progressed(sweep, event.value, event.stamp)
+        elif event.value is None:
+            self._sweep_gone(event.key[len(r.SWEEP) :])
+        else:
+            self._sweep_new(event.value, event.stamp)
+
+    def _sweep_new(self, record: r.SweepRecord, stamp: int) -> None:
+        owner = self.owner
+        sweep = Sweep(record, stamp, owner.settings.node, owner.settings.nodes)
+        self.sweeps[record.id] = sweep
+        progress = owner.mirror.items.get(r.PROGRESS + record.id)
+        if progress is not None and progress.value is not None:
+            self._progressed(sweep, progress.value, progress.stamp)
+        for number, (block, block_stamp) in self.stored.get(record.id, {}).items():
+            self.block(sweep, number).update(block, block_stamp)
+        owner.jobs_changed = True
+
+    def _sweep_gone(self, sweep_id: str) -> None:
+        """Ended or cancelled: whatever of it is still on machines stops."""
+        sweep = self.sweeps.pop(sweep_id, None)
+        if sweep is None:
+            return
+        self.owner.jobs_changed = True
+        for job in [j for j in self.owner.jobs.values() if self._of(j.home, sweep)]:
+            self.owner.job_over(job)
+        for block in sweep.blocks.values():
+            self.touched.pop(block.key, None)
+
+    @staticmethod
+    def _of(home: object, sweep: Sweep) -> bool:
+        return isinstance(home, Block) and home.sweep is sweep
+
+    def _block_changed(self, event: Event) -> None:
+        sweep_id, number = r.split_block(event.key)
+        sweep = self.sweeps.get(sweep_id)
+        if event.value is None:
+            blocks = self.stored.get(sweep_id, {})
+            blocks.pop(number, None)
+            if not blocks:
+                self.stored.pop(sweep_id, None)
+            return
+        self.stored.setdefault(sweep_id, {})[number] = (event.value, event.stamp)
+        if sweep is not None and not sweep.over_blocks >> number & 1:
+            self.block(sweep, number).update(event.value, event.stamp)
+
+    def _progressed(self, sweep: Sweep, record: r.ProgressRecord, stamp: int) -> None:
+        sweep.progress, sweep.progress_stamp = record, stamp
+        before, sweep.over_blocks = sweep.over_blocks, taskset.decode(record.over)
+        for number in members(sweep.over_blocks & ~before):
+            block = sweep.blocks.pop(number, None)
+            if block is None or block.left_out:
+                mask = sweep.mask(number)
+                for group in sweep.groups.values():
+                    group.waiting &= ~mask
+                    group.open &= ~mask
+
+    def block(self, sweep: Sweep, number: int) -> Block:
+        """A block of a live sweep that is not over."""
+        found = sweep.blocks.get(number)
+        if found is None:
+            found = sweep.blocks[number] = Block(self, sweep, number)
+        return found
+
+    # -- passes ---------------------------------------------------------------------------------
+
+    def before_pass(self, now: float) -> None:
+        """Look through more points, and have enough of them ready to be claimed."""
+        if not self.sweeps or not self.owner.types:
+            return
+        share = max(16, self.window // len(self.sweeps))
+        for sweep in list(self.sweeps.values()):
+            ready = sum(group.open.bit_count() for group in sweep.groups.values())
+            if sweep.scanned < len(sweep.order):
+                enough = ready + sum(g.waiting.bit_count() for g in sweep.groups.values()) >= share
+                self._scan(sweep, SCAN_SLOWLY if enough else SCAN_POINTS)
+            if ready < share and sweep.groups:
+                for group in sweep.groups.values():
+                    self._fill(sweep, group, max(4, share // len(sweep.groups)))
+
+    def _fill(self, sweep: Sweep, group: Group, most: int) -> None:
+        for _ in range(most - group.open.bit_count()):
+            k = sweep.next_waiting(group)
+            if k is None:
+                return
+            number, offset = divmod(k, sweep.block)
+            group.waiting &= ~(1 << k)
+            self.block(sweep, number).open(offset)
+
+    def _scan(self, sweep: Sweep, points: int) -> None:
+        """Look through the next blocks: who waits in which group, who can't run or is left out."""
+        while points > 0 and sweep.scanned < len(sweep.order):
+            number = sweep.order[sweep.scanned]
+            sweep.scanned += 1
+            if sweep.over_blocks >> number & 1:
+                continue
+            block = self.block(sweep, number)
+            points -= block.size
+            claimed = block.over
+            for bits in block.claims.values():
+                claimed |= bits
+            for k in range(block.size):
+                if not claimed >> k & 1:
+                    self._look(sweep, block, k)
+            block.scanned = True
+            if block.bad:
+                self.touched[block.key] = block
+        if sweep.scanned == len(sweep.order):
+            self.owner.jobs_changed = True
+            log.info("sweep looked through sweep=%s points=%d", sweep.id, sweep.size)
+
+    def _look(self, sweep: Sweep, block: Block, k: int) -> None:
+        spec = sweep.spec(block.first + k)
+        if spec is None:
+            block.left_out |= 1 << k
+            sweep.left_out += 1
+            return
+        why = spec if isinstance(spec, str) else sweep.impossible(spec, self.owner.users.impossible)
+        if why is not None:
+            block.bad[k] = why
+            block.bad_at = self.owner.now
+        elif not isinstance(spec, str) and spec.id not in self.owner.jobs:
+            sweep.group(spec).waiting |= 1 << (block.first + k)
+
+    def after_pass(self, now: float) -> None:
+        """Write what the pass has decided; end blocks."""
+        for block in list(self.touched.values()):
+            if block.flush(now):
+                self.touched.pop(block.key, None)
+        for sweep in self.sweeps.values():
+            self._close(sweep, now)
+
+    def tick(self, now: float) -> None:
+        """Clear away what cancelled sweeps have left."""
+        if self.stored and not self.clearing and self.owner.mirror.loaded:
+            self._clear(now)
+
+    def loads(self) -> Iterable[tuple[float, str, str, float, float]]:
+        """Points that are not among the owner's jobs, for the count of guarantees."""
+        for sweep in self.sweeps.values():
+            for group in sweep.groups.values():
+                count = group.waiting.bit_count()
+                if count:
+                    cpus, gpus = count * group.cpus, count * group.gpus
+                    at = sweep.record.at + 1e-6 * sweep.size
+                    yield at, f"{sweep.id}.p", group.team, cpus, gpus
+
+    # -- ends -----------------------------------------------------------------------------------
+
+    def _close(self, sweep: Sweep, now: float) -> None:
+        """Move blocks that are over out of the watch, and end the sweep with the last of them."""
+        owner = self.owner
+        node = owner.settings.node
+        if sweep.closing or node not in owner.shards.acting_shards(now):
+            return
+        ready: list[Block] = []
+        for number, block in sweep.blocks.items():
+            if block.busy or not block.complete:
+                block.over_since = None
+                continue
+            if block.over_since is None:
+                block.over_since = now
+            # Whose block it is ends it; if that controller does not, another does.
+            mine = number in sweep.own_blocks
+            if mine or now - block.over_since > owner.leadership.length:
+                ready.append(block)
+        if not ready:
+            return
+        stored = [b for b in ready if b.stamp]
+        stored = stored[: (owner.settings.params.state.txn_ops - 4) // 2]
+        ready = stored + [b for b in ready if not b.stamp][:CLOSE_CONDITIONS]
+        over = sweep.over_blocks
+        for block in ready:
+            over |= 1 << block.number
+        last = over == sweep.every_block
+        full = len(stored) == (owner.settings.params.state.txn_ops - 4) // 2
+        if not last and not full and now - sweep.closed_at < 1.0:
+            return
+        sweep.closed_at = now
+        self._write_close(sweep, ready, over, last)
+
+    def _write_close(self, sweep: Sweep, ready: list[Block], over: int, last: bool) -> None:
+        owner = self.owner
+        node = owner.settings.node
+        old = sweep.progress
+        failures = taskset.decode(old.failures)
+        for block in ready:
+            if block.failed:
+                failures |= 1 << block.number
+        progress = r.ProgressRecord(
+            taskset.encode(over),
+            old.done + sum(b.done.bit_count() for b in ready),
+            old.failed + sum(len(b.failed) for b in ready),
+            old.cancelled + sum(b.cancelled.bit_count() for b in ready),
+            old.left_out + sum(b.left_out.bit_count() for b in ready),
+            taskset.encode(failures),
+        )
+        conditions = [
+            (r.SWEEP + sweep.id, sweep.stamp),
+            (r.PROGRESS + sweep.id, sweep.progress_stamp),
+            *((block.key, block.stamp) for block in ready),
+        ]
+        changes: list[wire.Put | wire.Drop] = []
+        for block in ready:
+            if block.stamp:
+                record = block.record()
+                record.claims = {}
+                changes.append(wire.Drop(block.key))
+                kept = r.block_key(r.BLOCK_OVER, sweep.id, block.number)
+                changes.append(wire.Put(kept, record))
+        if last:
+            changes.append(wire.Drop(r.SWEEP + sweep.id))
+            if sweep.progress_stamp:
+                changes.append(wire.Drop(r.PROGRESS + sweep.id))
+            ended = r.SweepOver(DONE, sweep.record, progress)
+            changes.append(wire.Put(r.SWEEP_OVER + sweep.id, ended))
+        else:
+            changes.append(wire.Put(r.PROGRESS + sweep.id, progress))
+        sweep.closing = True
+
+        def done(result: Result) -> None:
+            sweep.closing = False
+            if result.outcome is not Outcome.DONE:
+                owner.sync.want_sync()
+                sweep.closed_at = owner.now + owner.random.uniform(0.0, 1.0)
+            elif last:
+                log.info("sweep over sweep=%s done=%d node=%s", sweep.id, progress.done, node)
+
+        owner.commit(conditions, changes, done)
+
+    def _clear(self, now: float) -> None:
+        """Blocks of sweeps that are cancelled move out of the watch; what they say is kept."""
+        owner = self.owner
+        left = [s for s in self.stored if s not in self.sweeps]
+        if not left or not owner.leadership.provisioner_term or not owner.leadership.acting(now):
+            return
+        sweep_id = left[0]
+        conditions = [(r.SWEEP + sweep_id, 0)]
+        changes: list[wire.Put | wire.Drop] = []
+        most = (owner.settings.params.state.txn_ops - 2) // 2
+        for number, (record, stamp) in list(self.stored[sweep_id].items())[:most]:
+            key = r.block_key(r.BLOCK, sweep_id, number)
+            conditions.append((key, stamp))
+            changes.append(wire.Drop(key))
+            kept = r.BlockRecord({}, record.done, record.cancelled, record.failed)
+            changes.append(wire.Put(r.block_key(r.BLOCK_OVER, sweep_id, number), kept))
+        self.clearing = True
+
+        def done(result: Result) -> None:
+            self.clearing = False
+
+        owner.commit(conditions, changes, done)
+
+    # -- ids and users --------------------------------------------------------------------------
+
+    def guard(self, job_id: str) -> Guard | str | None:
+        """A job whose id looks like a point's may be submitted as long as there is no such sweep;
+        it then keeps such a sweep from beginning."""
+        point = r.point_of(job_id)
+        if point is None:
+            return None
+        sweep_id, k = point
+        if sweep_id in self.sweeps:
+            return f"the id belongs to point {k} of sweep {sweep_id}"
+        return Guard(
+            [(r.SWEEP + sweep_id, 0), (r.SWEEP_OVER + sweep_id, 0)],
+            [wire.Put(r.TAKEN + sweep_id, {})],
+        )
+
+    def routes(self) -> Routes:
+        """Answers to users; not loaded before the first question."""
+        if self._routes is None:
+            from sagecove.sweeps.routes import Routes
+
+            self._routes = Routes(self)
+        return self._routes
+
+    def look_up(self, kind: str, job_id: str, exchange: Any) -> bool:
+        """A user asks for a job that the core does not know: a point?"""
+        if r.point_of(job_id) is None:
+            return False
+        self.routes().point(kind, job_id, exchange)
+        return True
+
+    def asked(self, ask: Asked) -> bool:
+        """A request that the core has no answer to."""
+        path = ask.path.partition("?")[0]
+        ours = path.startswith(("/api/sweeps", "/api/templates", "/explain/"))
+        if ours or (path.startswith("/api/jobs/") and path.endswith("/description")):
+            return self.routes().asked(ask)
+        return False
--- /dev/null
+++ b/sagecove/sweeps/feature.py
@@ -0,0 +1,24 @@
+"""Sweeps as a feature: their settings, and how they are made."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Annotated
+
+import msgspec
+
+from sagecove.sweeps.decisions import Sweeps
+
+if TYPE_CHECKING:
+    from sagecove.coordination.owner import Owner
+
+
+class Options(msgspec.Struct, forbid_unknown_fields=True):
+    """`points_most`: the largest sweep. `window`: so many unclaimed points are jobs at a time."""
+
+    points_most: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 100_000
+    window: Annotated[int, msgspec.Meta(ge=32, le=5000)] = 384
+
+
+def make(owner: Owner, options: Options) -> Sweeps:
+    """The feature for an owner."""
+    return Sweeps(owner, options.points_most, options.window)
--- /dev/null
+++ b/sagecove/sweeps/model.py
@@ -0,0 +1,174 @@
+"""What a controller keeps of a sweep: sets of numbers, and jobs for what is near its turn.
+
+A point is a job like any other from the moment it may be claimed. Before that it is a bit in the
+set of its group: points that the order of claims cannot tell apart by anything but their number.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING
+
+from sagecove.protocol.users import ARRAY, Job
+from sagecove.storage import taskset
+from sagecove.sweeps.expand import INDEX, Space, Value
+from sagecove.sweeps.records import BlockRecord, ProgressRecord, SweepRecord, point_id
+from sagecove.sweeps.template import Form, TemplateError
+
+if TYPE_CHECKING:
+    from sagecove.sweeps.claims import Block
+
+# More groups than this are not told apart by run time and deadline.
+GROUPS_MOST = 64
+
+GroupKey = tuple[str, str, str, float, float, float, float | None]
+
+
+class Group:
+    """Points of one team, priority, class and size."""
+
+    def __init__(self, spec: Job) -> None:
+        self.team = spec.team
+        self.cpus = spec.cpus
+        self.gpus = spec.gpus
+        # Points that nobody has claimed, as far as is known: not jobs here yet, and jobs here.
+        self.waiting = 0
+        self.open = 0
+
+
+class Sweep:
+    """A live sweep."""
+
+    def __init__(self, record: SweepRecord, stamp: int, node: str, nodes: list[str]) -> None:
+        self.record = record
+        self.stamp = stamp
+        self.id = record.id
+        self.space: Space = record.space
+        self.size = self.space.count()
+        self.names = self.space.names()
+        self.form = Form(record.template)
+        self.only = taskset.decode(record.only) if record.only else None
+        self.block = record.block
+        self.blocks_count = -(-self.size // self.block)
+        self.every_block = taskset.full(self.blocks_count)
+        self.progress = ProgressRecord()
+        self.progress_stamp = 0
+        self.over_blocks = 0
+        self.groups: dict[GroupKey, Group] = {}
+        self.blocks: dict[int, Block] = {}
+        # Each controller begins with blocks of its own, so that they seldom reach for the same.
+        turn = sorted(nodes).index(node)
+        count = len(nodes)
+        self.own_blocks = range(turn, self.blocks_count, count)
+        self.order = [b for n in range(count) for b in self._stripe((turn + n) % count, count)]
+        self.own = 0
+        for number in self.own_blocks:
+            self.own |= self.mask(number)
+        self.scanned = 0
+        self.left_out = 0
+        self.closing = False
+        self.closed_at = -1e9
+        self._reasons: dict[tuple[object, ...], str | None] = {}
+
+    def _stripe(self, turn: int, count: int) -> range:
+        return range(turn, self.blocks_count, count)
+
+    def mask(self, number: int) -> int:
+        """The points of a block, as a set of the sweep's numbers."""
+        first = number * self.block
+        return taskset.full(min(self.block, self.size - first)) << first
+
+    def values(self, k: int) -> dict[str, Value] | None:
+        """What point k binds; None if it is left out."""
+        if self.only is not None and not self.only >> k & 1:
+            return None
+        point = self.space.point(k)
+        if point is None:
+            return None
+        point[INDEX] = k
+        return {**self.record.values, **point}
+
+    def spec(self, k: int) -> Job | str | None:
+        """The job of point k; why it can't be one; None if it is left out."""
+        values = self.values(k)
+        if values is None:
+            return None
+        try:
+            self.form.check_values({name: values[name] for name in self.names})
+            spec = self.form.fill(point_id(self.id, k), values)
+        except TemplateError as error:
+            return str(error)
+        if spec.kind != ARRAY or spec.tasks != 1:
+            return "a point is one task: `shape` must be sweep and `hands` 1"
+        return spec
+
+    def impossible(self, spec: Job, judge: Callable[[Job], str | None]) -> str | None:
+        """Why a point's job can never run, by the core's judge; like needs are judged once."""
+        types = tuple(spec.types) if spec.types is not None else None
+        key = (spec.team, types, spec.zone, spec.cpus, spec.gpus, spec.memory_gb)
+        if key not in self._reasons:
+            if len(self._reasons) > 1000:
+                self._reasons.clear()
+            self._reasons[key] = judge(spec)
+        return self._reasons[key]
+
+    def group(self, spec: Job) -> Group:
+        """The group that a point belongs to."""
+        team, priority, klass = spec.team, spec.priority, spec.klass
+        key: GroupKey = (
+            *(team, priority, klass, spec.cpus, spec.gpus, spec.estimate_s),
+            spec.deadline_s,
+        )
+        if key not in self.groups and len(self.groups) >= GROUPS_MOST:
+            key = (team, priority, klass, spec.cpus, spec.gpus, -1.0, None)
+        found = self.groups.get(key)
+        if found is None:
+            found = self.groups[key] = Group(spec)
+        return found
+
+    def forget(self, k: int) -> None:
+        """Point k waits no more: it is claimed, or over."""
+        bit = 1 << k
+        for group in self.groups.values():
+            group.waiting &= ~bit
+            group.open &= ~bit
+
+    def next_waiting(self, group: Group) -> int | None:
+        """The point of a group that becomes a job next: of one's own blocks first."""
+        bits = group.waiting & self.own or group.waiting
+        return (bits & -bits).bit_length() - 1 if bits else None
+
+    def counts(self) -> dict[str, int]:
+        """Points by what became of them, as far as is known here."""
+        done, failed = self.progress.done, self.progress.failed
+        cancelled, claimed = self.progress.cancelled, 0
+        for block in self.blocks.values():
+            done += block.done.bit_count()
+            failed += len(block.failed)
+            cancelled += block.cancelled.bit_count()
+            claimed += sum(bits.bit_count() for bits in block.claims.values())
+        waiting = self.size - done - failed - cancelled - claimed - self.left_out
+        return {
+            "points": self.size,
+            "done": done,
+            "failed": failed,
+            "cancelled": cancelled,
+            "left_out": self.left_out,
+            "claimed": claimed,
+            "waiting": max(0, waiting),
+        }
+
+
+def decoded(record: BlockRecord, size: int) -> tuple[dict[str, int], int, int, dict[int, str]]:
+    """A block record's sets: claims, done, cancelled and failed. Numbers beyond the block, which
+    nobody writes, count for nothing."""
+    every = taskset.full(size)
+    claims = {shard: taskset.decode(text) & every for shard, text in record.claims.items()}
+    failed = {int(k): why for k, why in record.failed.items() if k.isdecimal() and int(k) < size}
+    done, cancelled = taskset.decode(record.done), taskset.decode(record.cancelled)
+    return claims, done & every, cancelled & every, failed
+
+
+def members(bits: int) -> Iterator[int]:
+    """Numbers of a set, ascending."""
+    return taskset.members(bits)
--- a/sagecove/sweeps/records.py
+++ b/sagecove/sweeps/records.py
@@ -106,6 +106,7 @@
     done: int = 0
     failed: int = 0
     cancelled: int = 0
+    left_out: int = 0
     # Blocks with points that failed: where to look for the reasons.
     failures: str = ""
 
