--- a/sagecove/sweeps/routes.py
+++ b/sagecove/sweeps/routes.py
@@ -490,7 +490,10 @@
         counts = sweep.counts()
         progress = r.ProgressRecord(
             sweep.progress.over,
-            *(counts[name] for name in ("done", "failed", "cancelled", "left_out")),
+            counts["done"],
+            counts["failed"],
+            counts["cancelled"],
+            counts["left_out"],
         )
         over = r.SweepOver(CANCELLED, sweep.record, progress)
         key = r.SWEEP + sweep.id
