--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -194,6 +194,8 @@
             self.run(0.02)
         if got and path.startswith("/api/jobs"):
             self.answered(self._about(path, body), *got[0], submitted=path == "/api/jobs")
+        if got and (method, path) == ("POST", "/api/sweeps") and got[0][0] in (200, 201):
+            self.sweeps.add(body["id"])
         return got[0] if got else (0, None)
 
     @staticmethod
--- a/sagecove/sweeps/claims.py
+++ b/sagecove/sweeps/claims.py
@@ -100,9 +100,9 @@
             if job is not None:
                 owner.job_over(job)
             if self.done >> k & 1:
-                owner.users.final(job_id, DONE, 1)
+                self.feature.remember(job_id, DONE)
             elif self.cancelled >> k & 1:
-                owner.users.final(job_id, CANCELLED, 1)
+                self.feature.remember(job_id, CANCELLED)
         gone = 0
         for bits in before.values():
             gone |= bits
@@ -229,13 +229,23 @@
         return claimed.bit_count() <= len(self.finishing)
 
     def _drop_stale(self, acting: dict[str, Shard]) -> None:
-        """What was decided under a term that is over, or for a job that is, is void."""
+        """What was decided under a term that is over, or for a job that is, is void; and so is what
+        rested on claims that are not there any more: it waits here while another write of the
+        block is under way. Without that check a point that another shard had claimed meanwhile
+        was claimed by both, and ran twice."""
+        claimed = 0
+        for bits in self.claims.values():
+            claimed |= bits
+        over = self.over
         for queue in (self.claiming, self.giving, self.finishing):
             for k, (job, shard) in list(queue.items()):
+                mine = self.claims.get(shard.name, 0)
+                stands = not claimed >> k & 1 if queue is self.claiming else mine >> k & 1
                 if (
-                    acting.get(shard.name) is not shard
+                    not stands
+                    or acting.get(shard.name) is not shard
                     or self.owner.jobs.get(job.id) is not job
-                    or self.over >> k & 1
+                    or over >> k & 1
                 ):
                     del queue[k]
                     _settle(job)
--- a/sagecove/sweeps/decisions.py
+++ b/sagecove/sweeps/decisions.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+from collections import OrderedDict
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, Any
 
@@ -33,6 +34,7 @@
 SCAN_SLOWLY = 64
 # Blocks that one write ends: each is removed and kept, beside the progress (`txn_ops` bounds it).
 CLOSE_CONDITIONS = 40
+FINALS_KEPT = 10_000
 
 
 class Sweeps:
@@ -51,6 +53,9 @@
         # Blocks as the mirror has them, their sweep known or not: by sweep and number.
         self.stored: dict[str, dict[int, tuple[r.BlockRecord, int]]] = {}
         self.touched: dict[str, Block] = {}
+        # Points that are over, bounded; what fell out is read again. Not among the core's: a job
+        # submitted under a point's id must not be told that it is done.
+        self.finals: OrderedDict[str, str] = OrderedDict()
         self.clearing = False
         self._routes: Routes | None = None
 
@@ -315,6 +320,12 @@
 
         owner.commit(conditions, changes, done)
 
+    def remember(self, job_id: str, state: str) -> None:
+        """A point is over, durably."""
+        self.finals[job_id] = state
+        if len(self.finals) > FINALS_KEPT:
+            self.finals.popitem(last=False)
+
     # -- ids and users --------------------------------------------------------------------------
 
     def guard(self, job_id: str) -> Guard | str | None:
--- a/sagecove/sweeps/routes.py
+++ b/sagecove/sweeps/routes.py
@@ -569,7 +569,10 @@
         assert found is not None
         sweep_id, k = found
         sweep = self.feature.sweeps.get(sweep_id)
-        if sweep is not None:
+        final = self.feature.finals.get(job_id)
+        if final is not None and kind in ("status", "cancel"):
+            self._final(kind, job_id, final, exchange)
+        elif sweep is not None:
             self._tell_point(kind, sweep, k, None, exchange)
         else:
             self._ended(
@@ -579,6 +582,10 @@
                 lambda: self.users.read_final(kind, job_id, exchange),
             )
 
+    def _final(self, kind: str, job_id: str, state: str, exchange: Any) -> None:
+        known = Status(job_id, state, 1 if state == DONE else 0, 0)
+        self.users.reply(exchange, 200, known if kind == "status" else Status(job_id, state))
+
     def _as_sweep(self, over: r.SweepOver) -> Sweep:
         nodes = self.owner.settings.nodes
         return Sweep(over.record, 0, nodes[0], nodes)
@@ -600,10 +607,8 @@
         def tell(record: r.BlockRecord) -> None:
             state, why = _state(sweep, k, offset, record, over)
             if state in (DONE, CANCELLED):
-                done = 1 if state == DONE else 0
-                users.final(job_id, state, 1)
-                known = Status(job_id, state, done, 0) if kind == "status" else None
-                users.reply(exchange, 200, known or Status(job_id, state))
+                self.feature.remember(job_id, state)
+                self._final(kind, job_id, state, exchange)
             elif state != PENDING:
                 # Never accepted as a job: it has no state.
                 self._refuse(exchange, Refused(404, f"point {k} of sweep {sweep.id}: {why}"))
--- /dev/null
+++ b/tests/test_sweeps.py
@@ -0,0 +1,376 @@
+"""Stories of templates and sweeps: points claimed, killed, cancelled, retried, counted alike."""
+
+import json
+from typing import Any
+
+import pytest
+
+from sagecove.features import maker
+from sagecove.lab.deployment import job
+from sagecove.lab.world import World
+from sagecove.storage import taskset
+from sagecove.sweeps.feature import Options
+
+ON = maker([("sweeps", Options())])
+
+
+def inline(**fields: Any) -> dict[str, Any]:
+    """A point's job, without an id."""
+    return {k: v for k, v in job(1, **fields).items() if k != "nameId"}
+
+
+def world(machines: int = 6, nodes: int = 3, seed: int = 1) -> World:
+    w = World(nodes=nodes, seed=seed, features=ON)
+    for i in range(machines):
+        w.cloud.start("small", "ab"[i % 2], False)
+    w.run(3)
+    return w
+
+
+def submit(w: World, space: str, node: str = "n0", name: str = "run-s", **fields: Any) -> Any:
+    body = {"id": name, "space": space, "job": inline(**fields)}
+    return w.user(node, "POST", "/api/sweeps", body)
+
+
+def view(w: World, name: str = "run-s", node: str = "n1") -> dict[str, Any]:
+    status, answer = w.user(node, "GET", f"/api/sweeps/{name}")
+    return answer if status == 200 else {"state": str(status)}
+
+
+def over(w: World, name: str = "run-s") -> bool:
+    return view(w, name, sorted(w.owners)[0])["state"] in ("done", "aborted")
+
+
+def starts(w: World) -> list[str]:
+    return [task for _, task, _ in w.starts]
+
+
+def test_a_sweep_runs_each_point_once_and_keeps_what_became_of_it() -> None:
+    w = world()
+    status, answer = submit(w, "x in 1..40 where x != 7")
+    assert (status, answer["points"]) == (201, 40)
+    # Twice with the same id is one.
+    assert submit(w, "x in 1..40 where x != 7", "n1")[0] == 200
+    w.until(lambda: over(w), 120)
+    assert sorted(starts(w)) == sorted(f"run-s.p{k}/0" for k in range(40) if k != 6)
+    last = view(w)
+    assert (last["done"], last["left_out"], last["failed"]) == (39, 1, 0)
+    # Nothing of it is left among the live keys, and each point's state can still be asked for.
+    assert not [k for k in w.state.keys if k.startswith(("s/sweep", "s/points", "s/swept"))]
+    for node in w.owners:
+        assert w.user(node, "GET", "/api/jobs/run-s.p39")[1]["standing"] == "done"
+        assert w.user(node, "GET", "/api/jobs/run-s.p6")[0] == 404
+        assert w.user(node, "GET", "/api/jobs/run-s.p40")[0] == 404
+    assert submit(w, "x in 1..40 where x != 7")[1]["state"] == "done"
+
+
+def test_one_bad_point_of_five_thousand_fails_alone_and_soon() -> None:
+    w = world(4)
+    space = 'x in 1..5000 * team in ["red"] where x != 5000 or team != "red"'
+    body = {
+        "id": "run-s",
+        "space": "x in 1..4999 & memory in lin(1, 1, 4999)",
+        "job": inline(memoryGb="${memory}", vcpus=0.5),
+    }
+    body["space"] = 'x in 0..4999 * team in ["red"]'
+    body["job"] = inline(vcpus=0.5, outfit="${team}", memoryGb="${x}")
+    del space
+    begun = w.now
+    assert w.user("n2", "POST", "/api/sweeps", body)[0] == 201
+    w.until(lambda: view(w)["failed"] >= 5000 - 65, 60)
+    # All that ask for more than any machine has are found while hardly any has run.
+    assert w.now - begun < 30 and len(w.completed) < 200
+    shown = view(w)
+    assert shown["failures"][0] == {
+        "point": 65,
+        "why": "a task fits no allowed machine type",
+    }
+    w.until(lambda: over(w), 200)
+    assert view(w)["done"] == 65 and len(w.completed) == 65
+    answer = w.user("n0", "GET", "/api/sweeps/run-s/points?state=failed&from=4990&most=5")[1]
+    assert [p["point"] for p in answer["points"]] == [4990, 4991, 4992, 4993, 4994]
+    assert "fits no allowed machine type" in answer["points"][0]["why"]
+
+
+def test_a_name_of_no_team_and_a_value_out_of_the_rules_fail_alone() -> None:
+    w = world()
+    body = {
+        "id": "run-s",
+        "space": '(team in ["red", "nobody", "blue", "red"] & cpus in [1.0, 1.0, 99.0, -1.0])',
+        "job": inline(outfit="${team}", vcpus="${cpus}"),
+    }
+    assert w.user("n0", "POST", "/api/sweeps", body)[0] == 201
+    w.until(lambda: over(w), 60)
+    told = w.user("n1", "GET", "/api/sweeps/run-s/points?state=failed")[1]["points"]
+    assert [p["point"] for p in told] == [1, 2, 3]
+    assert told[0]["why"] == "unknown team nobody"
+    assert "fits no allowed machine type" in told[1]["why"]
+    assert "vcpus" in told[2]["why"]
+    assert view(w)["done"] == 1
+    # What failed may be tried again, as a sweep of its own.
+    status, answer = w.user("n2", "POST", "/api/sweeps/run-s/retry", {"id": "run-again"})
+    assert (status, answer["points"]) == (201, 4)
+    w.until(lambda: over(w, "run-again"), 60)
+    assert (view(w, "run-again")["failed"], view(w, "run-again")["left_out"]) == (3, 1)
+    assert (
+        w.user("n2", "POST", "/api/sweeps/run-s/retry", {"id": "run-s.x", "states": []})[0] == 422
+    )
+
+
+@pytest.mark.parametrize("moment", [0.0, 0.3, 1.0, 2.5, 6.0])
+def test_a_controller_killed_at_any_moment_loses_no_point(moment: float) -> None:
+    w = world(6, seed=3)
+    submit(w, "x in 1..60")
+    w.run(moment)
+    w.kill("n1")
+    w.run(3)
+    w.boot_node(1)
+    w.until(lambda: over(w), 300)
+    assert len(w.completed) == 60
+    # Tasks of a holder that is dead run on: hardly any is started twice, and none at one time.
+    assert len(w.starts) <= 75
+
+
+@pytest.mark.parametrize("verdict", ["lost", "unanswered", "late", "throttled"])
+def test_writes_of_blocks_with_an_unknown_outcome(verdict: str) -> None:
+    w = world(6, seed=5)
+    turn = [0]
+
+    def hook(node: str, body: dict[str, Any]) -> str | None:
+        if not any("s/points/" in c.get("put", "") for c in body["then"]):
+            return None
+        turn[0] += 1
+        return verdict if turn[0] % 3 == 0 else None
+
+    w.state.hook = hook
+    submit(w, "x in 1..50")
+    w.until(lambda: len(w.completed) == 50, 300)
+    w.state.hook = None
+    w.until(lambda: over(w), 60)
+    assert sorted(set(starts(w))) == sorted(f"run-s.p{k}/0" for k in range(50))
+
+
+def test_an_outage_in_the_middle_stops_nothing_that_runs() -> None:
+    w = world(6)
+    submit(w, "x in 1..60")
+    w.run(6)
+    running = {t for worker in w.workers.values() for t in worker.live()}
+    w.state.outage(True)
+    w.run(10)
+    assert {t for t in running if t in w.completed} == running
+    w.state.outage(False)
+    w.until(lambda: over(w), 200)
+    assert len(w.starts) == 60
+
+
+def test_cancelling_a_sweep_stops_all_that_is_and_all_that_is_yet_to_come() -> None:
+    w = world(4)
+    for worker in w.workers.values():
+        worker.run_s = 8.0
+    submit(w, "x in 1..500")
+    w.until(lambda: len(w.completed) > 20, 100)
+    status, answer = w.user("n2", "POST", "/api/sweeps/run-s/cancel")
+    assert (status, answer["state"]) == (200, "aborted")
+    done = {t.split("/")[0] for t in w.completed}
+    w.cancelled = {f"run-s.p{k}": w.now for k in range(500) if f"run-s.p{k}" not in done}
+    begun = len(w.starts)
+    w.until(lambda: not any(worker.live() for worker in w.workers.values()), 37)
+    w.run(20)
+    assert len(w.starts) <= begun + 16
+    told = {w.user("n0", "GET", f"/api/jobs/run-s.p{k}")[1]["standing"] for k in range(0, 500, 50)}
+    assert told <= {"done", "aborted"} and "aborted" in told
+    # What was done before stays done, on every controller, and what is left is cleared away.
+    counts = view(w)
+    assert counts["done"] + counts["cancelled"] == 500
+    for k in range(500):
+        if f"run-s.p{k}" in done and k % 7 == 0:
+            answer = w.user("n1", "GET", f"/api/jobs/run-s.p{k}")[1]
+            assert answer["standing"] in ("done", "aborted")
+    w.run(10)
+    assert not [k for k in w.state.keys if k.startswith("s/points/")]
+    # No point's state has changed by that.
+    for k in range(0, 500, 50):
+        assert w.user("n2", "GET", f"/api/jobs/run-s.p{k}")[1]["standing"] in told
+
+
+def test_a_single_point_is_cancelled_waiting_or_running() -> None:
+    w = world(2)
+    submit(w, "x in 1..100", vcpus=4.0)
+    w.until(lambda: w.running("run-s.p0") + w.running("run-s.p1") > 0, 30)
+    running = next(k for k in range(100) if w.running(f"run-s.p{k}"))
+    for k in (running, 99):
+        status, answer = w.user("n1", "POST", f"/api/jobs/run-s.p{k}/cancel")
+        assert (status, answer["standing"]) == (200, "aborted")
+        assert w.user("n0", "GET", f"/api/jobs/run-s.p{k}")[1]["standing"] == "aborted"
+    w.until(lambda: not w.running(f"run-s.p{running}"), 10)
+    assert view(w)["cancelled"] == 2
+    assert w.user("n1", "POST", "/api/jobs/run-s.p100/cancel")[0] == 404
+
+
+def test_ids_of_points_and_of_jobs_do_not_clash() -> None:
+    w = world()
+    # A job that has the id already keeps the sweep out; another id of the sweep will do.
+    assert w.submit("n0", {**job(1), "nameId": "run-s.p3"})[0] == 201
+    status, answer = submit(w, "x in 1..10")
+    assert status == 422 and "run-s.p" in answer["error"]
+    w.until(lambda: "run-s.p3/0" in w.completed, 60)
+    w.run(3)
+    assert submit(w, "x in 1..10", "n1")[0] == 422
+    assert submit(w, "x in 1..10", name="run-t")[0] == 201
+    # And a sweep keeps its points' ids, alive and after its end.
+    status, answer = w.submit("n2", {**job(1), "nameId": "run-t.p3"})
+    assert status == 422 and "belongs to point 3 of sweep run-t" in answer["error"]
+    w.until(lambda: over(w, "run-t"), 60)
+    assert w.submit("n2", {**job(1), "nameId": "run-t.p3"})[0] == 422
+    assert w.submit("n2", {**job(1), "nameId": "run-t.p03"})[0] == 201
+
+
+def test_bad_submissions_are_refused_whole_and_by_name() -> None:
+    w = world()
+
+    def refused(status: int, told: str, **body: Any) -> None:
+        full = {"id": "run-s", "space": "x in 1..3", "job": inline(), **body}
+        full = {k: v for k, v in full.items() if v is not None}
+        answer = w.user("n0", "POST", "/api/sweeps", full)
+        assert answer[0] == status and told in answer[1]["error"], answer
+
+    refused(400, "`id`", id="nightly")
+    refused(400, "line 1, column 9: expected", space="x in 1..")
+    refused(400, "unknown field `spaces`", spaces="")
+    refused(400, "either `template` or `job`", job=None)
+    refused(404, "there is no template reindex", job=None, template="reindex")
+    refused(422, "has 100001 points; 100000 are allowed", space="x in 1..100001")
+    refused(422, "x is bound twice", space="x in 1..3 * x in 1..3")
+    refused(422, "of one length: x has 3, y has 2", space="x in 1..3 & y in 1..2")
+    refused(422, "${depth} is no parameter", job=inline(memoryGb="${depth}"))
+    refused(422, "there is no field memory", job={**inline(), "memory": 3})
+    refused(413, "longer than", job=inline(bundle="x" * 9000))
+    assert not w.user("n1", "GET", "/api/sweeps")[1]["sweeps"]
+    assert w.user("n0", "GET", "/api/sweeps/run-s")[0] == 404
+    w.state.outage(True)
+    w.run(4)
+    status, _ = submit(w, "x in 1..3")
+    assert status == 503
+
+
+def test_templates_are_versions_that_do_not_change() -> None:
+    w = world()
+    template = {
+        "name": "reindex",
+        "parameters": [
+            {"name": "firm", "kind": "text", "allowed": ["red", "blue"]},
+            {
+                "name": "cpus",
+                "kind": "number",
+                "default": 1.0,
+                "least": 0.5,
+                "most": 4,
+                "unit": "CPUs",
+            },
+            {"name": "rank", "kind": "text", "default": "low", "set_by": ["red"]},
+        ],
+        "job": inline(outfit="${firm}", vcpus="${cpus}", bundle="img-${firm}", rank="${rank}"),
+    }
+    put = w.user("n0", "POST", "/api/templates", template)
+    assert put == (201, {"name": "reindex", "version": 1})
+    assert w.user("n1", "POST", "/api/templates", template)[1]["version"] == 1
+    template["parameters"][1]["default"] = 2.0
+    assert w.user("n1", "POST", "/api/templates", template)[1]["version"] == 2
+    shown = w.user("n2", "GET", "/api/templates/reindex?version=1")[1]
+    assert shown["parameters"][1]["default"] == 1.0
+    assert w.user("n2", "GET", "/api/templates/reindex?version=3")[0] == 404
+
+    def single(status: int, told: str, version: int | None = None, **values: Any) -> None:
+        body = {"nameId": f"run-{len(w.specs)}", "values": values, "version": version}
+        answer = w.user("n0", "POST", "/api/templates/reindex/jobs", body)
+        assert answer[0] == status and told in json.dumps(answer[1]), answer
+
+    single(201, "pending", firm="red", rank="urgent")
+    single(422, "parameter firm: not given", cpus=1)
+    single(422, 'given \\"green\\", allowed is one of \\"red\\", \\"blue\\"', firm="green")
+    single(422, "a number from 0.5 CPUs up to 4 CPUs", firm="red", cpus=0.1)
+    single(422, "team blue may not set it; allowed are red", firm="blue", rank="urgent")
+    single(422, "has no parameter depth", firm="red", depth=3)
+    body = {"id": "run-t", "template": "reindex", "version": 1, "space": 'firm in ["red", "blue"]'}
+    assert w.user("n0", "POST", "/api/sweeps", body)[0] == 201
+    w.until(lambda: over(w, "run-t"), 60)
+    assert {w.specs[f"run-t.p{k}"]["outfit"] for k in (0, 1)} == {"red", "blue"}
+    assert w.specs["run-t.p1"]["bundle"] == "img-blue" and w.specs["run-t.p1"]["vcpus"] == 1.0
+
+
+def test_a_sweep_neither_gains_nor_loses_against_the_same_jobs_sent_singly() -> None:
+    # Blue has room for four tasks of 2 CPUs, of which a sweep may take no more than single jobs
+    # would; red's single jobs go on beside it.
+    def play(as_sweep: bool) -> tuple[list[float], list[float], float]:
+        w = world(5, seed=11)
+        w.cloud.capacity = {"small": 5, "gpu": 0}
+        if as_sweep:
+            submit(w, "x in 1..40", outfit="blue")
+        else:
+            for n in range(40):
+                spec = {**inline(outfit="blue"), "nameId": f"run-b{n}"}
+                w.ask("n0", "POST", "/api/jobs", w.spec(spec), lambda s, b: None)
+        w.run(1)
+        for n in range(30):
+            spec = {**inline(outfit="red"), "nameId": f"run-r{n}"}
+            w.ask("n1", "POST", "/api/jobs", w.spec(spec), lambda s, b: None)
+        blue: list[float] = []
+        begun = w.now
+        while len(w.completed) < 70:
+            assert w.now - begun < 300
+            w.run(0.5)
+            live = [t for worker in w.workers.values() for t in worker.live()]
+            blue.append(sum(w.specs[t.split("/")[0]]["outfit"] == "blue" for t in live))
+        reds = sorted(at for at, task, _ in w.starts if task.startswith("run-r"))
+        blues = sorted(at for at, task, _ in w.starts if not task.startswith("run-r"))
+        assert max(blue) <= 4
+        return [t - begun for t in reds], [t - begun for t in blues], w.now - begun
+
+    single, sweep = play(False), play(True)
+    for ours, theirs in zip(sweep[:2], single[:2], strict=True):
+        mean_ours, mean_theirs = sum(ours) / len(ours), sum(theirs) / len(theirs)
+        assert abs(mean_ours - mean_theirs) < 0.12 * max(mean_ours, mean_theirs) + 1.0
+
+
+def test_points_that_are_no_jobs_yet_count_for_guarantees() -> None:
+    # Were they forgotten, a later job of the team would seem to fit its guarantee.
+    w = world(2)
+    w.cloud.capacity = {"small": 2, "gpu": 0}
+    submit(w, "x in 1..2000", vcpus=4.0)
+    w.run(2)
+    spec = {**inline(vcpus=1.0), "nameId": "run-late"}
+    w.submit("n0", spec)
+    w.run(1)
+    assert all(not owner.jobs["run-late"].within for owner in w.owners.values())
+    assert all(len(owner.jobs) < 450 for owner in w.owners.values())
+    first = [
+        owner.jobs["run-s.p0"].within for owner in w.owners.values() if "run-s.p0" in owner.jobs
+    ]
+    assert first and all(first)
+
+
+def test_explain_works_for_points_that_are_jobs_and_for_those_that_are_not() -> None:
+    w = world(1)
+    w.cloud.capacity = {"small": 1, "gpu": 0}
+    submit(w, "x in 1..3000", vcpus=4.0)
+    w.run(3)
+    for k in (1, 2999):
+        status, answer = w.user("n0", "GET", f"/explain/run-s.p{k}")
+        assert status == 200 and answer["reasons"], answer
+    assert "come first" in answer["reasons"][0]
+    assert w.user("n0", "GET", "/api/jobs/run-s.p2999")[1]["standing"] == "pending"
+
+
+def test_a_restarted_service_goes_on_with_a_sweep() -> None:
+    w = world(4)
+    submit(w, "x in 1..80")
+    w.until(lambda: len(w.completed) > 20, 60)
+    for number in range(3):
+        w.kill(f"n{number}")
+    w.run(3)
+    for number in range(3):
+        w.boot_node(number)
+    w.until(lambda: over(w), 200)
+    assert len(w.completed) == 80
+    blocks = [v for k, (v, _, _) in w.state.keys.items() if k.startswith("o/points/run-s/")]
+    assert sum(taskset.decode(b["done"]).bit_count() for b in blocks) == 80
