--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -81,6 +81,8 @@
         # Of the pass and shard at hand.
         self.making = False
         self.packing = False
+        # Machines on which any array of the pass may find room at all; None: not known.
+        self.roomy: list[Machine] | None = None
         self.withheld: dict[str, JobRun] = {}
         # Per team: CPUs and GPUs of jobs that wait to be claimed as a whole.
         self.held_back: dict[str, list[float]] = {}
@@ -130,6 +132,7 @@
             # under way would go to whoever comes after it.
             self.held_back = {}
             rested = self._rested(now, shard, every) if every else []
+            self.roomy = _roomy(steady, ordered + rested)
             for job in sorted(ordered + rested, key=precedence) if rested else ordered:
                 machines = steady if job.array else every
                 self._place(now, shard, machines, job, promised)
@@ -148,6 +151,10 @@
         names = [shard.name for shard in shards]
         found = []
         for job in owner.backlog.active.values():
+            if len(job.placed) == job.spec.tasks and not job.reserved and not job.stuck_at:
+                # All of it is on machines, as are most active jobs.
+                job.lacking_since = None
+                continue
             if owner.failures.suspect(job) and not self._may_probe(job):
                 # Fails wherever it runs: until its next try it costs nobody anything.
                 continue
@@ -438,7 +445,7 @@
         if allowed >= wanted or (allowed > 0 and not job.gang):
             most = 1 if job.blamed and not job.gang else 1000
             indexes = list(taskset.members(taskset.lowest(bits, min(allowed, most))))
-        usable = machines
+        usable = machines if self.roomy is None or not job.array else self.roomy
         if not job.array:
             # An earlier attempt that has exited is still to be removed from some.
             usable = [
@@ -453,7 +460,7 @@
             planned = plan(job, indexes, usable, owner.random, promised, packing, self.withheld)
             for _, machine in planned:
                 promise(promised, machine.name, spec, -1)
-            if len(planned) < len(indexes) and not job.gang and usable is machines:
+            if len(planned) < len(indexes) and not job.gang and (job.array or usable is machines):
                 self.futile.add(job)
         if planned:
             attempt = shard.next_attempt()
@@ -628,6 +635,8 @@
         if not wanted:
             return 0
         indexes = list(taskset.members(taskset.lowest(bits, min(wanted, 1000))))
+        if self.roomy is not None and job.array:
+            machines = self.roomy
         count = len(plan(job, indexes, machines, self.owner.random, promised, False, self.withheld))
         if count < len(indexes) and not job.gang:
             self.futile.add(job)
@@ -775,6 +784,22 @@
         return changes, conditions
 
 
+def _roomy(machines: list[Machine], jobs: list[JobRun]) -> list[Machine]:
+    """Machines with room for the smallest task of the arrays among jobs: in a pass room only
+    shrinks, and when work is plenty most machines have none."""
+    arrays = [job.spec for job in jobs if job.array]
+    if not arrays:
+        return machines
+    cpus = min(spec.cpus for spec in arrays) - EPS
+    memory = min(spec.memory_gb for spec in arrays) - EPS
+    out = []
+    for machine in machines:
+        free = machine.free()
+        if free[0] >= cpus and free[2] >= memory:
+            out.append(machine)
+    return out
+
+
 def _stopping_rank(job: JobRun) -> tuple[int, bool, str]:
     """Jobs that may stop the same tasks."""
     return job.priority, job.within, job.spec.team if job.within else ""
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -223,6 +223,7 @@
         promised = owner.shards.promised(node)
         claims = owner.claims
         claims.futile = claims.futile_making = Futile()
+        claims.roomy = None
         claims.look_around([m for m in machines if m.open])
         count = claims.fitting(job, node, machines, promised)
         if count < job.spec.tasks and job.priority >= 2:
--- a/sagecove/sweeps/expand.py
+++ b/sagecove/sweeps/expand.py
@@ -50,6 +50,8 @@
         """How many values."""
         if self.step == 0:
             raise SpaceError("a range's step must not be 0")
+        if all(isinstance(v, int) for v in (self.first, self.last, self.step)):
+            return max(0, int((self.last - self.first) // self.step) + 1)
         first, last, step = (Decimal(str(v)) for v in (self.first, self.last, self.step))
         return max(0, int((last - first) / step) + 1) if (last - first) / step >= 0 else 0
 
@@ -245,8 +247,7 @@
         """What point k binds; None if the filter leaves it out."""
         k, repetition = divmod(k, self.repeat)
         out: dict[str, Value] = {}
-        raw = self.node.count()
-        if self.sample is not None and self.sample < raw:
+        if self.sample is not None and self.sample < (raw := self.node.count()):
             k = permuted(k, raw, self.seed)
         self.node.fill(k, out)
         out[REPETITION] = repetition
