--- a/sagecove/lab/rules.py
+++ b/sagecove/lab/rules.py
@@ -80,7 +80,10 @@
                 continue
             for task in worker.live():
                 job_id = task.split("/")[0]
-                spec = self.specs[job_id]
+                spec = self.specs.get(job_id)
+                if spec is None:
+                    # Its description is still being fetched: it has not started.
+                    continue
                 used[spec["outfit"]] = used.get(spec["outfit"], 0.0) + spec["vcpus"]
                 self._check_cancelled(job_id)
         for team in TEAMS:
--- a/sagecove/service.py
+++ b/sagecove/service.py
@@ -48,7 +48,8 @@
             (self.settings.peer_listen, self._peer_asked, 0.1),
         ):
             host, port = split_address(address)
-            factory = Server(handler, self.reactor, int(most * share))
+            pace = self.settings.params.workers.report_s
+            factory = Server(handler, self.reactor, int(most * share), pace)
             self.reactor.listenTCP(port, factory, backlog=256, interface=host)
         log.info(
             "started node=%s listen=%s lease=%.2f",
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,7 +1,13 @@
 """`sagecove dev` as a newcomer runs it, and the stand-ins' own rules and faults."""
 
+import http.client
+import json
+import re
+import socket
 import subprocess
 import sys
+import time
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -90,3 +96,63 @@
     assert not w.cloud.requests
     w.cloud.refuses = False
     w.until(lambda: standing(w, "n0", "run-000001") == "done", 60)
+
+
+def test_a_thousand_half_requests_keep_nobody_out(tmp_path: Path) -> None:
+    out = tmp_path / "out"
+    with out.open("w") as file:
+        lab = subprocess.Popen(
+            [sys.executable, "-m", "sagecove", "dev", "--port", "0", "--controllers", "1"]
+            + ["--machines", "2", "--time-scale", "8"],
+            stdout=file,
+        )
+    crowd: list[socket.socket] = []
+    try:
+        found = None
+        begun = time.monotonic()
+        while found is None and time.monotonic() - begun < 20:
+            time.sleep(0.2)
+            found = re.search(r"controller n0: ([0-9.]+):(\d+)", out.read_text())
+        assert found is not None
+        address = (found[1], int(found[2]))
+        by_door = re.search(r"http://([0-9.]+):(\d+)", out.read_text())
+        assert by_door is not None
+        door = (by_door[1], int(by_door[2]))
+
+        def ask(method: str, path: str, body: Any = None) -> tuple[int, Any]:
+            # Submissions go by the door, which keeps what workers fetch.
+            connection = http.client.HTTPConnection(*(door if body else address), timeout=2)
+            raw = None if body is None else json.dumps(body)
+            connection.request(method, path, raw, {"Connection": "close"})
+            answer = connection.getresponse()
+            return answer.status, json.loads(answer.read())
+
+        while time.monotonic() - begun < 30:
+            try:
+                if ask("GET", "/ready")[0] == 200:
+                    break
+            except OSError:
+                pass
+            time.sleep(0.2)
+        # Machines have reported before the crowd comes; they have to go on doing so.
+        time.sleep(2)
+        assert ask("POST", "/api/jobs", job(1, hands=4, reckonS=24.0))[0] == 201
+        for _ in range(1000):
+            half = socket.create_connection(address, timeout=5)
+            half.sendall(b"GET /rea")
+            crowd.append(half)
+        status = ""
+        for turn in range(10):
+            begun = time.monotonic()
+            assert ask("GET", "/ready")[0] == 200
+            if turn == 0:
+                assert ask("POST", "/api/jobs", job(2))[0] == 201
+            status = ask("GET", "/api/jobs/run-000001")[1]["standing"]
+            assert time.monotonic() - begun < 1.5
+            time.sleep(0.6)
+        assert status == "done"
+    finally:
+        for half in crowd:
+            half.close()
+        lab.terminate()
+        lab.wait(20)
