Points of several tasks, gangs and services get records of their own, a few at a time

A point that does not fit a bit is written as a job when its turn is near, in one transaction with its block, and is from then on an ordinary job; its block learns how it ended by a read.

--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -178,6 +178,7 @@
             self.at,
             {s: taskset.encode(b & ~fin) for s, b in claims.items() if b & ~fin},
             taskset.encode(fin),
+            self.record.sweep,
         )
 
 
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -308,6 +308,8 @@
         job.claim_after = self.now + self.random.uniform(0.0, self.claims.poll_s / 6)
         self.learning.note_arrival(job)
         self.quota.job_seen(job)
+        for feature in self.features:
+            feature.job_seen(job)
         self.backlog.settle(job)
 
     def job_over(self, job: JobRun) -> None:
@@ -315,6 +317,8 @@
         del self.jobs[job.id]
         self.jobs_changed = True
         self.quota.job_over(job)
+        for feature in self.features:
+            feature.job_over(job)
         self.backlog.remove(job)
         self.peers.hungry.pop(job.id, None)
         for placement in list(job.placed.values()):
--- a/sagecove/coordination/ports.py
+++ b/sagecove/coordination/ports.py
@@ -60,6 +60,12 @@
     def asked(self, ask: Asked) -> bool:
         """A request that the core has no answer to; True if it is the feature's to answer."""
 
+    def job_seen(self, job: JobRun) -> None:
+        """A job has come, by a record of its own or by a home of ours."""
+
+    def job_over(self, job: JobRun) -> None:
+        """A job is over, durably."""
+
     def before_pass(self, now: float) -> None:
         """A pass over jobs and machines is about to begin."""
 
--- a/sagecove/storage/records.py
+++ b/sagecove/storage/records.py
@@ -32,6 +32,8 @@
     at: float
     claims: dict[str, str] = {}
     fin: str = ""
+    # The sweep it is a point of, if it is.
+    sweep: str = ""
 
 
 class OverRecord(msgspec.Struct):
--- a/sagecove/sweeps/claims.py
+++ b/sagecove/sweeps/claims.py
@@ -15,7 +15,7 @@
 from sagecove.protocol import state as wire
 from sagecove.protocol.users import CANCELLED, DONE, Status
 from sagecove.storage import taskset
-from sagecove.storage.records import HOLDER, QUOTA, JobRecord
+from sagecove.storage.records import HOLDER, JOB, OVER, QUOTA, JobRecord
 from sagecove.storage.store import Outcome, Result
 from sagecove.sweeps.model import Sweep, decoded, members
 from sagecove.sweeps.records import BLOCK, SWEEP, BlockRecord, block_key, point_id
@@ -47,6 +47,8 @@
         self.claims: dict[str, int] = {}
         self.done = 0
         self.cancelled = 0
+        # Points with records of their own that are not known to be over.
+        self.made = 0
         self.failed: dict[int, str] = {}
         # Left out by the filter: known once the block has been looked through.
         self.left_out = 0
@@ -59,6 +61,8 @@
         # Points found bad, to be written: number to reason; and since when.
         self.bad: dict[int, str] = {}
         self.bad_at = 0.0
+        # Points that had records of their own and are over: number to state.
+        self.endings: dict[int, str] = {}
         self.due = 0.0
         self.busy = False
 
@@ -83,6 +87,7 @@
             {s: taskset.encode(bits) for s, bits in self.claims.items() if bits},
             taskset.encode(self.done),
             taskset.encode(self.cancelled),
+            taskset.encode(self.made),
             {str(k): why for k, why in self.failed.items()},
         )
 
@@ -91,7 +96,13 @@
         owner, sweep = self.owner, self.sweep
         before_over, before = self.over, self.claims
         self.stamp = stamp
-        self.claims, self.done, self.cancelled, self.failed = decoded(record, self.size)
+        sets = decoded(record, self.size)
+        self.claims, self.done, self.cancelled, self.failed = (
+            *(sets.claims, sets.done, sets.cancelled, sets.failed),
+        )
+        for k in members(sets.made & ~self.made):
+            sweep.forget(self.first + k)
+        self.made = sets.made
         over = self.over
         for k in members(over & ~before_over):
             sweep.forget(self.first + k)
@@ -205,6 +216,62 @@
         conditions = [(self.key, self.stamp), (SWEEP + self.sweep.id, self.sweep.stamp)]
         owner.commit(conditions, [wire.Put(self.key, record)], done, urgent=True)
 
+    # -- points with records of their own -----------------------------------------------------
+
+    def make(self, points: list[int], shard: Shard) -> None:
+        """Write records for points of more than one task: from then on they are jobs as if their
+        user had sent them alone, at the time of the sweep."""
+        sweep = self.sweep
+        record = self.record()
+        made = self.made
+        jobs: list[wire.Put | wire.Drop] = []
+        conditions = self._conditions(shard)
+        for k in points:
+            spec = sweep.spec(self.first + k)
+            if spec is None or isinstance(spec, str):
+                continue
+            made |= 1 << k
+            at = sweep.record.at + 1e-6 * (self.first + k)
+            jobs.append(wire.Put(JOB + spec.id, JobRecord(spec, at, sweep=sweep.id)))
+            conditions += [(JOB + spec.id, 0), (OVER + spec.id, 0)]
+        record.made = taskset.encode(made)
+        self._commit(shard, conditions, [wire.Put(self.key, record), *jobs], [], [])
+
+    def ended(self, k: int, state: str) -> None:
+        """A point with a record of its own is known to be over."""
+        if not self.endings and not self.finishing:
+            self.due = self.owner.now + DONE_WAIT_S
+        self.endings[k] = state
+        self.feature.touched[self.key] = self
+
+    def _write_endings(self, now: float, acting: dict[str, Shard]) -> bool:
+        """Write down which points are over that had records of their own; True if there is more
+        to do."""
+        self.endings = {k: state for k, state in self.endings.items() if self.made >> k & 1}
+        if not self.endings:
+            return False
+        shard = acting.get(self.owner.settings.node)
+        if shard is None or now < self.due:
+            return True
+        record = self.record()
+        sets = {DONE: self.done, CANCELLED: self.cancelled}
+        made = self.made
+        for k, state in self.endings.items():
+            made &= ~(1 << k)
+            sets[state] |= 1 << k
+        record.made = taskset.encode(made)
+        record.done, record.cancelled = taskset.encode(sets[DONE]), taskset.encode(sets[CANCELLED])
+        self._commit(shard, self._conditions(shard), [wire.Put(self.key, record)], [], [])
+        return True
+
+    def _conditions(self, shard: Shard) -> list[tuple[str, int]]:
+        """The block is as it was, the shard is held under this term, the sweep is alive."""
+        return [
+            (self.key, self.stamp),
+            (HOLDER + shard.name, shard.term),
+            (SWEEP + self.sweep.id, self.sweep.stamp),
+        ]
+
     # -- writing --------------------------------------------------------------------------------
 
     def flush(self, now: float) -> bool:
@@ -215,7 +282,7 @@
         self._drop_stale(acting)
         queued = (self.claiming, self.giving, self.finishing)
         if not any(queued):
-            return not self._write_bad(now, acting)
+            return not (self._write_endings(now, acting) or self._write_bad(now, acting))
         if not self.claiming and not self.giving and now < self.due and not self._last():
             return False
         # One shard at a time: a write is conditional on one term.
@@ -258,11 +325,7 @@
         giving = _of(self.giving, shard)
         finishing = _of(self.finishing, shard)
         changes: list[wire.Put | wire.Drop] = []
-        conditions = [
-            (self.key, self.stamp),
-            (HOLDER + shard.name, shard.term),
-            (SWEEP + self.sweep.id, self.sweep.stamp),
-        ]
+        conditions = self._conditions(shard)
         for team in list(dict.fromkeys(job.spec.team for job, _ in claiming.values())):
             grown = owner.quota.grown_by(shard.name, team, 0.0, 0.0)
             if grown is None or len(changes) == TEAMS_MOST:
@@ -344,12 +407,7 @@
         for k, why in sorted(self.bad.items()):
             record.failed[str(k)] = why[:200]
             log.info("point failed job=%s why=%s", point_id(self.sweep.id, self.first + k), why)
-        conditions = [
-            (self.key, self.stamp),
-            (HOLDER + shard.name, shard.term),
-            (SWEEP + self.sweep.id, self.sweep.stamp),
-        ]
-        self._commit(shard, conditions, [wire.Put(self.key, record)], [], [])
+        self._commit(shard, self._conditions(shard), [wire.Put(self.key, record)], [], [])
         return True
 
 
--- a/sagecove/sweeps/decisions.py
+++ b/sagecove/sweeps/decisions.py
@@ -12,18 +12,22 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
 from sagecove.coordination.ports import Guard
 from sagecove.protocol import state as wire
-from sagecove.protocol.users import DONE
+from sagecove.protocol.users import CANCELLED, DONE
 from sagecove.storage import taskset
 from sagecove.storage.mirror import Event
-from sagecove.storage.store import Outcome, Result
+from sagecove.storage.records import JOB, MEMBER, OVER, OverRecord
+from sagecove.storage.store import Outcome, Result, decode
 from sagecove.sweeps import records as r
 from sagecove.sweeps.claims import Block
 from sagecove.sweeps.model import Group, Sweep, members
 
 if TYPE_CHECKING:
     from sagecove.coordination.effects import Asked
+    from sagecove.coordination.model import JobRun
     from sagecove.coordination.owner import Owner
     from sagecove.sweeps.routes import Routes
 
@@ -35,6 +39,10 @@
 # Blocks that one write ends: each is removed and kept, beside the progress (`txn_ops` bounds it).
 CLOSE_CONDITIONS = 40
 FINALS_KEPT = 10_000
+# A point with a record of its own weighs as much as so many others among those that are ready.
+HEAVY = 8
+# Reads under way of how such points ended.
+ASKING_MOST = 4
 
 
 class Sweeps:
@@ -53,6 +61,11 @@
         # Blocks as the mirror has them, their sweep known or not: by sweep and number.
         self.stored: dict[str, dict[int, tuple[r.BlockRecord, int]]] = {}
         self.touched: dict[str, Block] = {}
+        # Jobs with records of their own, by sweep; and what is being read about such that ended.
+        self.made: dict[str, dict[str, JobRun]] = {}
+        self.asking: set[str] = set()
+        self.stopping = False
+        self.looked_at = -1e9
         # Points that are over, bounded; what fell out is read again. Not among the core's: a job
         # submitted under a point's id must not be told that it is done.
         self.finals: OrderedDict[str, str] = OrderedDict()
@@ -131,6 +144,19 @@
             found = sweep.blocks[number] = Block(self, sweep, number)
         return found
 
+    def job_seen(self, job: JobRun) -> None:
+        """A job has come: a point of more than one task?"""
+        if job.record.sweep:
+            self.made.setdefault(job.record.sweep, {})[job.id] = job
+
+    def job_over(self, job: JobRun) -> None:
+        """A job is over."""
+        jobs = self.made.get(job.record.sweep)
+        if jobs is not None:
+            jobs.pop(job.id, None)
+            if not jobs:
+                del self.made[job.record.sweep]
+
     # -- passes ---------------------------------------------------------------------------------
 
     def before_pass(self, now: float) -> None:
@@ -143,8 +169,10 @@
             if sweep.scanned < len(sweep.order):
                 enough = ready + sum(g.waiting.bit_count() for g in sweep.groups.values()) >= share
                 self._scan(sweep, SCAN_SLOWLY if enough else SCAN_POINTS)
-            if ready < share and sweep.groups:
-                for group in sweep.groups.values():
+            for group in list(sweep.groups.values()):
+                if group.heavy:
+                    self._make(sweep, group, max(2, share // len(sweep.groups) // HEAVY), now)
+                elif ready < share:
                     self._fill(sweep, group, max(4, share // len(sweep.groups)))
 
     def _fill(self, sweep: Sweep, group: Group, most: int) -> None:
@@ -156,6 +184,29 @@
             group.waiting &= ~(1 << k)
             self.block(sweep, number).open(offset)
 
+    def _make(self, sweep: Sweep, group: Group, most: int, now: float) -> None:
+        """Have a few points of more than one task ready to be claimed, as jobs."""
+        k = sweep.next_waiting(group)
+        shard = self.owner.held.get(self.owner.settings.node)
+        if k is None or shard is None or shard.name not in self.owner.shards.acting_shards(now):
+            return
+        ready = sum(
+            1
+            for job in self.made.get(sweep.id, {}).values()
+            if job.unclaimed and sweep.group(job.spec) is group
+        )
+        number = k // sweep.block
+        block = self.block(sweep, number)
+        most = min(most - ready, self.owner.settings.params.state.txn_ops // 2)
+        if most <= 0 or block.busy or self.owner.store.short(now):
+            return
+        points = []
+        for k in members(group.waiting & sweep.mask(number)):
+            points.append(k - block.first)
+            if len(points) == most:
+                break
+        block.make(points, shard)
+
     def _scan(self, sweep: Sweep, points: int) -> None:
         """Look through the next blocks: who waits in which group, who can't run or is left out."""
         while points > 0 and sweep.scanned < len(sweep.order):
@@ -165,7 +216,9 @@
                 continue
             block = self.block(sweep, number)
             points -= block.size
-            claimed = block.over
+            # What has a record of its own waits no more: after a start such points were made again
+            # and again, in vain, and their block never came to its end.
+            claimed = block.over | block.made
             for bits in block.claims.values():
                 claimed |= bits
             for k in range(block.size):
@@ -200,7 +253,16 @@
             self._close(sweep, now)
 
     def tick(self, now: float) -> None:
-        """Clear away what cancelled sweeps have left."""
+        """Learn how points with records of their own ended; clear away what cancelled sweeps have
+        left."""
+        if now - self.looked_at >= 1.0 and self.owner.mirror.loaded:
+            self.looked_at = now
+            for sweep in self.sweeps.values():
+                for block in list(sweep.blocks.values()):
+                    if block.made:
+                        self._ask_ends(sweep, block)
+            if self.made and not self.stopping:
+                self._stop_orphans(now)
         if self.stored and not self.clearing and self.owner.mirror.loaded:
             self._clear(now)
 
@@ -214,6 +276,59 @@
                     at = sweep.record.at + 1e-6 * sweep.size
                     yield at, f"{sweep.id}.p", group.team, cpus, gpus
 
+    def _ask_ends(self, sweep: Sweep, block: Block) -> None:
+        """Whose block it is reads how its made points ended; if that controller is down, another
+        does. A read that finds nothing is repeated: the mirror may be behind."""
+        owner = self.owner
+        mine = block.number in sweep.own_blocks
+        if not mine and any(
+            MEMBER + n in owner.mirror.items
+            for t, n in enumerate(sorted(owner.settings.nodes))
+            if t == block.number % len(owner.settings.nodes)
+        ):
+            return
+        for k in members(block.made):
+            job_id = r.point_id(sweep.id, block.first + k)
+            if job_id in owner.jobs or k in block.endings or job_id in self.asking:
+                continue
+            if len(self.asking) >= ASKING_MOST:
+                return
+            self.asking.add(job_id)
+
+            def done(status: int | None, body: bytes, k: int = k, job_id: str = job_id) -> None:
+                self.asking.discard(job_id)
+                pair = decode(body, wire.Pair) if status == 200 else None
+                state = pair.value.get("state") if pair and isinstance(pair.value, dict) else None
+                if state in (DONE, CANCELLED):
+                    block.ended(k, state)
+
+            owner.store.read(owner.now, OVER + job_id, done)
+
+    def _stop_orphans(self, now: float) -> None:
+        """Jobs of sweeps that were cancelled are cancelled one after the other, a few in a write:
+        by all controllers, each beginning with others."""
+        owner = self.owner
+        left = [j for s, jobs in self.made.items() if s not in self.sweeps for j in jobs.values()]
+        if not left or not owner.leadership.acting(now):
+            return
+        turn = sorted(owner.settings.nodes).index(owner.settings.node)
+        left = left[turn :: len(owner.settings.nodes)] or left
+        chosen = left[: owner.settings.params.state.txn_ops // 2]
+        conditions = [(JOB + job.id, job.stamp) for job in chosen]
+        changes: list[wire.Put | wire.Drop] = []
+        for job in chosen:
+            changes.append(wire.Drop(JOB + job.id))
+            changes.append(wire.Put(OVER + job.id, OverRecord(CANCELLED, job.spec.tasks)))
+        self.stopping = True
+
+        def done(result: Result) -> None:
+            self.stopping = False
+            # The next few at once.
+            self.looked_at = -1e9 if result.outcome is Outcome.DONE else owner.now
+            log.info("points stopped count=%d outcome=%s", len(chosen), result.outcome.name)
+
+        owner.commit(conditions, changes, done, urgent=True)
+
     # -- ends -----------------------------------------------------------------------------------
 
     def _close(self, sweep: Sweep, now: float) -> None:
@@ -311,7 +426,7 @@
             key = r.block_key(r.BLOCK, sweep_id, number)
             conditions.append((key, stamp))
             changes.append(wire.Drop(key))
-            kept = r.BlockRecord({}, record.done, record.cancelled, record.failed)
+            kept = msgspec.structs.replace(record, claims={})
             changes.append(wire.Put(r.block_key(r.BLOCK_OVER, sweep_id, number), kept))
         self.clearing = True
 
--- a/sagecove/sweeps/model.py
+++ b/sagecove/sweeps/model.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from sagecove.protocol.users import ARRAY, Job
 from sagecove.storage import taskset
@@ -21,7 +21,12 @@
 # More groups than this are not told apart by run time and deadline.
 GROUPS_MOST = 64
 
-GroupKey = tuple[str, str, str, float, float, float, float | None]
+GroupKey = tuple[object, ...]
+
+
+def heavy(spec: Job) -> bool:
+    """More than one task: its state does not fit a bit, so it gets a record of its own."""
+    return spec.kind != ARRAY or spec.tasks != 1
 
 
 class Group:
@@ -29,8 +34,9 @@
 
     def __init__(self, spec: Job) -> None:
         self.team = spec.team
-        self.cpus = spec.cpus
-        self.gpus = spec.gpus
+        self.cpus = spec.cpus * spec.tasks
+        self.gpus = spec.gpus * spec.tasks
+        self.heavy = heavy(spec)
         # Points that nobody has claimed, as far as is known: not jobs here yet, and jobs here.
         self.waiting = 0
         self.open = 0
@@ -98,8 +104,6 @@
             spec = self.form.fill(point_id(self.id, k), values)
         except TemplateError as error:
             return str(error)
-        if spec.kind != ARRAY or spec.tasks != 1:
-            return "a point is one task: `shape` must be sweep and `hands` 1"
         return spec
 
     def impossible(self, spec: Job, judge: Callable[[Job], str | None]) -> str | None:
@@ -114,13 +118,10 @@
 
     def group(self, spec: Job) -> Group:
         """The group that a point belongs to."""
-        team, priority, klass = spec.team, spec.priority, spec.klass
-        key: GroupKey = (
-            *(team, priority, klass, spec.cpus, spec.gpus, spec.estimate_s),
-            spec.deadline_s,
-        )
+        like = (spec.team, spec.priority, spec.klass, spec.cpus, spec.gpus, spec.tasks, spec.kind)
+        key: GroupKey = (*like, spec.estimate_s, spec.deadline_s)
         if key not in self.groups and len(self.groups) >= GROUPS_MOST:
-            key = (team, priority, klass, spec.cpus, spec.gpus, -1.0, None)
+            key = like
         found = self.groups.get(key)
         if found is None:
             found = self.groups[key] = Group(spec)
@@ -142,11 +143,13 @@
         """Points by what became of them, as far as is known here."""
         done, failed = self.progress.done, self.progress.failed
         cancelled, claimed = self.progress.cancelled, 0
+        # Those with records of their own count as claimed.
         for block in self.blocks.values():
             done += block.done.bit_count()
             failed += len(block.failed)
             cancelled += block.cancelled.bit_count()
             claimed += sum(bits.bit_count() for bits in block.claims.values())
+            claimed += block.made.bit_count()
         waiting = self.size - done - failed - cancelled - claimed - self.left_out
         return {
             "points": self.size,
@@ -159,14 +162,23 @@
         }
 
 
-def decoded(record: BlockRecord, size: int) -> tuple[dict[str, int], int, int, dict[int, str]]:
-    """A block record's sets: claims, done, cancelled and failed. Numbers beyond the block, which
-    nobody writes, count for nothing."""
+class Sets(NamedTuple):
+    """A block record's sets; numbers count from the block's first point."""
+
+    claims: dict[str, int]
+    done: int
+    cancelled: int
+    made: int
+    failed: dict[int, str]
+
+
+def decoded(record: BlockRecord, size: int) -> Sets:
+    """A block record's sets. Numbers beyond the block, which nobody writes, count for nothing."""
     every = taskset.full(size)
     claims = {shard: taskset.decode(text) & every for shard, text in record.claims.items()}
     failed = {int(k): why for k, why in record.failed.items() if k.isdecimal() and int(k) < size}
-    done, cancelled = taskset.decode(record.done), taskset.decode(record.cancelled)
-    return claims, done & every, cancelled & every, failed
+    sets = [taskset.decode(text) & every for text in (record.done, record.cancelled, record.made)]
+    return Sets(claims, sets[0], sets[1], sets[2], failed)
 
 
 def members(bits: int) -> Iterator[int]:
--- a/sagecove/sweeps/records.py
+++ b/sagecove/sweeps/records.py
@@ -95,6 +95,8 @@
     claims: dict[str, str] = {}
     done: str = ""
     cancelled: str = ""
+    # Points that are jobs with records of their own, until they are known to be over.
+    made: str = ""
     # Points that can't run, with the reason.
     failed: dict[str, str] = {}
 
--- a/sagecove/sweeps/routes.py
+++ b/sagecove/sweeps/routes.py
@@ -44,6 +44,8 @@
 TEMPLATES_KEPT, SWEEPS_KEPT, BLOCKS_KEPT = 50, 20, 100
 PREVIEWED = 10
 POINTS_MOST = 500
+# A point with a record of its own, not known to be over.
+MADE = "made"
 
 
 class Kept:
@@ -389,7 +391,8 @@
         """Points that run, as far as is known here: by this controller's machines and hints."""
         count = 0
         for job in self.owner.jobs.values():
-            if getattr(job.home, "sweep", None) is sweep and (job.claims or job.placed):
+            ours = getattr(job.home, "sweep", None) is sweep or job.record.sweep == sweep.id
+            if ours and (job.claims or job.placed):
                 here = any(p.state == "running" for p in job.placed.values())
                 count += here or self.owner.peers.running_elsewhere(job.id) > 0
         return count
@@ -609,6 +612,9 @@
             if state in (DONE, CANCELLED):
                 self.feature.remember(job_id, state)
                 self._final(kind, job_id, state, exchange)
+            elif state == MADE:
+                # It has a record of its own, which says how it ended.
+                users.read_final(kind, job_id, exchange)
             elif state != PENDING:
                 # Never accepted as a job: it has no state.
                 self._refuse(exchange, Refused(404, f"point {k} of sweep {sweep.id}: {why}"))
@@ -725,6 +731,8 @@
                 job = self.owner.jobs.get(r.point_id(sweep.id, k))
                 if job is not None and any(p.state == "running" for p in job.placed.values()):
                     state = RUNNING
+                elif state == MADE:
+                    state = PENDING if job is not None else "ending"
                 if wanted not in (None, state):
                     continue
                 if len(told) == most:
@@ -795,13 +803,15 @@
     sweep: Sweep, k: int, offset: int, record: r.BlockRecord, over: r.SweepOver | None
 ) -> tuple[str, str]:
     """A point's state by its block's record, and why: `left_out` and `failed` beside a job's."""
-    _, done, cancelled, failed = decoded_block(record, sweep.block)
-    if done >> offset & 1:
+    sets = decoded_block(record, sweep.block)
+    if sets.done >> offset & 1:
         return DONE, ""
-    if cancelled >> offset & 1:
+    if sets.cancelled >> offset & 1:
         return CANCELLED, ""
-    if offset in failed:
-        return "failed", failed[offset]
+    if offset in sets.failed:
+        return "failed", sets.failed[offset]
+    if sets.made >> offset & 1:
+        return MADE, ""
     if sweep.values(k) is None:
         return "left_out", "the filter leaves it out"
     if over is not None and over.state == CANCELLED:
--- a/tests/test_sweeps.py
+++ b/tests/test_sweeps.py
@@ -374,3 +374,44 @@
     assert len(w.completed) == 80
     blocks = [v for k, (v, _, _) in w.state.keys.items() if k.startswith("o/points/run-s/")]
     assert sum(taskset.decode(b["done"]).bit_count() for b in blocks) == 80
+
+
+@pytest.mark.parametrize("shape", ["sweep", "ensemble"])
+def test_points_of_several_tasks_are_jobs_as_if_sent_alone(shape: str) -> None:
+    w = world(6)
+    submit(w, "x in 1..30", hands=3, shape=shape, vcpus=1.0)
+    w.until(lambda: len(w.completed) > 20, 60)
+    # A few at a time have records of their own; they are found like any other job.
+    assert 0 < sum(k.startswith("s/job/run-s.p") for k in w.state.keys) <= 40
+    live = next(j for o in w.owners.values() for j in o.jobs if j.startswith("run-s.p"))
+    assert w.user("n2", "GET", f"/explain/{live}")[0] == 200
+    w.kill("n1")
+    w.run(3)
+    w.boot_node(1)
+    w.until(lambda: over(w), 400)
+    assert view(w)["done"] == 30 and len(w.completed) == 90
+    assert not [
+        k for k in w.state.keys if k.startswith(("s/job", "s/sweep", "s/points", "s/swept"))
+    ]
+    assert w.user("n0", "GET", "/api/jobs/run-s.p29")[1]["standing"] == "done"
+
+
+def test_cancelling_a_sweep_of_large_points_stops_them_all() -> None:
+    w = world(4)
+    for worker in w.workers.values():
+        worker.run_s = 15.0
+    submit(w, "x in 1..200", hands=4, vcpus=1.0)
+    w.until(lambda: any(worker.live() for worker in w.workers.values()), 30)
+    # One of them is cancelled alone before that, and stays so.
+    first = next(t for _, t, _ in w.starts).split("/")[0]
+    assert w.user("n1", "POST", f"/api/jobs/{first}/cancel")[1]["standing"] == "aborted"
+    w.run(5)
+    assert w.user("n1", "POST", "/api/sweeps/run-s/cancel")[1]["state"] == "aborted"
+    w.until(lambda: not any(worker.live() for worker in w.workers.values()), 20)
+    begun = len(w.starts)
+    w.run(20)
+    assert len(w.starts) == begun
+    for k in (int(first.rpartition(".p")[2]), 0, 5, 199):
+        told = w.user("n2", "GET", f"/api/jobs/run-s.p{k}")[1]["standing"]
+        assert told in ("aborted", "done")
+    assert not [k for k in w.state.keys if k.startswith(("s/job/", "s/points/"))]
