--- a/demo.sh
+++ b/demo.sh
@@ -6,6 +6,6 @@
 .venv/bin/python -m pip install -q -r requirements.txt
 if [ "${1:-}" = --serve ]; then
   shift
-  exec .venv/bin/python -m sagecove dev "$@"
+  exec .venv/bin/python -m sagecove dev --features deploy/features.toml "$@"
 fi
-exec .venv/bin/python -m sagecove dev --demo --port 0 --time-scale 4 "$@"
+exec .venv/bin/python -m sagecove dev --demo --port 0 --time-scale 4 --features deploy/features.toml "$@"
