--- a/bench/backlog.py
+++ b/bench/backlog.py
@@ -38,11 +38,11 @@
     handle = Owner.handle
 
     def timed(self: Owner, *args: Any) -> Any:
-        begun = time.perf_counter()
+        begun = time.process_time()
         try:
             return handle(self, *args)
         finally:
-            spent[0] += time.perf_counter() - begun
+            spent[0] += time.process_time() - begun
 
     # Some tasks end all the time, so that there is room now and then.
     Owner.handle = timed  # type: ignore[method-assign]
--- a/sagecove/coordination/backlog.py
+++ b/sagecove/coordination/backlog.py
@@ -23,6 +23,8 @@
 # Larger groups are put in order less often: so many seconds for each job.
 ORDER_S = 0.0004
 SMALL = 200
+# Jobs without records of their own hardly differ: they are put in order so often (seconds).
+HOMED_S = 1.0
 
 
 def resting(job: JobRun) -> bool:
@@ -120,11 +122,19 @@
         at the moment."""
         owner = self.owner
         size = len(group.jobs)
-        if size <= SMALL or now - group.ordered_at > size * ORDER_S:
+        homed = group.any().home is not None
+        if now - group.ordered_at > (
+            HOMED_S if homed else 0.0 if size <= SMALL else size * ORDER_S
+        ):
             group.ordered_at = now
             group.came = []
             group.ordered = self.sorted(list(group.jobs.values()))
             ranked = group.ordered
+        elif homed:
+            # They become jobs in their own order.
+            group.ordered += group.came
+            group.came = []
+            ranked = group.ordered
         elif group.came:
             # Behind at most one of the first: enough, as the sorting comes soon.
             ranked = self.sorted([*group.ordered[: 4 * most], *group.came])
--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -8,6 +8,8 @@
 
 import logging
 from bisect import bisect_right
+from collections.abc import Callable
+from itertools import groupby
 from typing import TYPE_CHECKING
 
 from sagecove.coordination.model import (
@@ -133,7 +135,10 @@
             self.held_back = {}
             rested = self._rested(now, shard, every) if every else []
             self.roomy = _roomy(steady, ordered + rested)
-            for job in sorted(ordered + rested, key=precedence) if rested else ordered:
+            jobs = sorted(ordered + rested, key=precedence) if rested else ordered
+            if every and any(job.home is not None for job in jobs):
+                jobs = self._alike(now, shard, jobs, promised)
+            for job in jobs:
                 machines = steady if job.array else every
                 self._place(now, shard, machines, job, promised)
                 if every:
@@ -155,6 +160,15 @@
                 # All of it is on machines, as are most active jobs.
                 job.lacking_since = None
                 continue
+            if (
+                not job.unclaimed
+                and not job.reserved
+                and not job.stuck_at
+                and not any(name in job.claims for name in names)
+            ):
+                # Others have it.
+                job.lacking_since = None
+                continue
             if owner.failures.suspect(job) and not self._may_probe(job):
                 # Fails wherever it runs: until its next try it costs nobody anything.
                 continue
@@ -203,6 +217,86 @@
         the controller that has seen it fail."""
         return job.blamed and self.owner.now >= job.hold_until and not job.placed
 
+    def _alike(self, now: float, shard: Shard, jobs: list[JobRun], promised: Room) -> list[JobRun]:
+        """Jobs without records of their own come in hundreds that are alike: those that follow one
+        another in the order are planned for together. The jobs that are left to be looked at one
+        by one, in order."""
+        left: list[JobRun] = []
+        for key, run in groupby(jobs, key=self._like(shard.name)):
+            members = list(run)
+            if key is not None and len(members) > 1:
+                begin = self._place_alike if key[0] else self._claim_alike
+                members = begin(now, shard, members, promised)
+            left += members
+        return left
+
+    def _like(self, shard: str) -> Callable[[JobRun], tuple[object, ...] | None]:
+        """What jobs have in common that can be planned for together; None for those that can't."""
+
+        def key(job: JobRun) -> tuple[object, ...] | None:
+            spec = job.spec
+            if job.home is None or job.placed or job.errors or job.blamed or job.committing:
+                return None
+            claimed = shard in job.claims
+            if claimed and (job.stuck_at or job.reserved or not job.placeable(shard)):
+                return None
+            if not claimed and job.alike is None:
+                return None
+            types = tuple(spec.types) if spec.types is not None else None
+            return (
+                *(claimed, spec.team, job.priority, types, spec.zone, spec.spot),
+                *(spec.cpus, spec.gpus, spec.memory_gb, spec.image),
+            )
+
+        return key
+
+    def _place_alike(
+        self, now: float, shard: Shard, jobs: list[JobRun], promised: Room
+    ) -> list[JobRun]:
+        """Place claimed jobs that are alike, and return those that found no place."""
+        owner = self.owner
+        first = jobs[0]
+        allowed = self._limited(first, owner.quota.places(shard.name, first.spec, len(jobs)))
+        if not allowed or self.futile.known(first) or self.roomy is None:
+            return jobs
+        planned = plan(
+            first,
+            list(range(allowed)),
+            self.roomy,
+            owner.random,
+            promised,
+            self.packing,
+            self.withheld,
+        )
+        for number, machine in planned:
+            promise(promised, machine.name, first.spec, -1)
+            self._start(now, jobs[number], 0, machine, shard.next_attempt())
+        return jobs[len(planned) :]
+
+    def _claim_alike(
+        self, now: float, shard: Shard, jobs: list[JobRun], promised: Room
+    ) -> list[JobRun]:
+        """Claim as many of the jobs that are alike as fit, and return the others."""
+        first = jobs[0]
+        wanted = self.owner.quota.claimable(shard.name, first.spec, len(jobs))
+        wanted = self._limited(first, wanted)
+        if not wanted or self.futile.known(first) or self.roomy is None:
+            return jobs
+        count = len(
+            plan(
+                first,
+                list(range(wanted)),
+                self.roomy,
+                self.owner.random,
+                promised,
+                False,
+                self.withheld,
+            )
+        )
+        for job in jobs[:count]:
+            self.claim(job, shard, 1)
+        return jobs[count:]
+
     # -- results --------------------------------------------------------------------------------
 
     def _record(self, now: float, shards: list[Shard]) -> None:
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -398,9 +398,10 @@
                 jobs.append(job)
         for group in owner.backlog.groups.values():
             members = [j for j in group.jobs.values() if not owner.failures.suspect(j)]
-            if len(members) > ALIKE_MOST:
-                rest = members[ALIKE_MOST:]
-                members = members[:ALIKE_MOST]
+            most = ALIKE_MOST if group.any().home is None else 1
+            if len(members) > most:
+                rest = members[most:]
+                members = members[:most]
                 self.more[members[-1].id] = len(rest), sum(j.unclaimed.bit_count() for j in rest)
             jobs += owner.backlog.sorted(members)
         jobs.sort(key=precedence)
