--- /dev/null
+++ b/bench/search.py
@@ -0,0 +1,31 @@
+"""A long search for histories of sweeps that break a rule or lose a point: the machine of
+tests/test_sweep_machine.py with new seeds. Usage: python -m bench.search [EXAMPLES [STEPS]]
+
+A find is printed as the shortest history that shows it; it becomes a story.
+"""
+
+import sys
+
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from tests.test_sweep_machine import Sweeping
+
+
+def main() -> None:
+    """Search, and say how far."""
+    examples = int(sys.argv[1]) if len(sys.argv) > 1 else 200
+    steps = int(sys.argv[2]) if len(sys.argv) > 2 else 20
+    search = settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    run_state_machine_as_test(Sweeping, settings=search)  # type: ignore[no-untyped-call]
+    print(f"{examples} histories of up to {steps} steps: nothing found")
+
+
+if __name__ == "__main__":
+    main()
