--- a/bench/sweeps.py
+++ b/bench/sweeps.py
@@ -118,11 +118,12 @@
         done = len([t for t in lab.completed if t.startswith("run-s.")])
         spent = cpu() - before - idle * took
         latencies.sort()
+        late = 1000 * latencies[int(0.95 * len(latencies))]
         print(
             f"{done:>7} points, {controllers} controllers: {done / took:.0f} a second,"
             f" {1000 * spent / done:.2f} ms of processes' time and"
-            f" {(writes[0] - written) / done:.2f} writes a point; others' submissions p50 {1000 * median(latencies):.0f} ms,"
-            f" p95 {1000 * latencies[int(0.95 * len(latencies))]:.0f} ms",
+            f" {(writes[0] - written) / done:.2f} writes a point; others' submissions"
+            f" p50 {1000 * median(latencies):.0f} ms, p95 {late:.0f} ms",
             flush=True,
         )
 
--- a/sagecove/coordination/backlog.py
+++ b/sagecove/coordination/backlog.py
@@ -9,12 +9,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from typing import TYPE_CHECKING
 
 from sagecove.coordination.model import JobRun, precedence
-
-if TYPE_CHECKING:
-    from sagecove.coordination.owner import Owner
+from sagecove.coordination.ports import Ranked
 
 Key = tuple[object, ...]
 
@@ -79,7 +76,7 @@
 class Backlog:
     """Active jobs, and groups of resting ones."""
 
-    def __init__(self, owner: Owner) -> None:
+    def __init__(self, owner: Ranked) -> None:
         self.owner = owner
         self.active: dict[str, JobRun] = {}
         self.groups: dict[Key, Group] = {}
--- a/sagecove/coordination/failures.py
+++ b/sagecove/coordination/failures.py
@@ -8,12 +8,9 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
 
 from sagecove.coordination.model import JobRun, Machine, Placement
-
-if TYPE_CHECKING:
-    from sagecove.coordination.owner import Owner
+from sagecove.coordination.ports import Clock
 
 log = logging.getLogger("sagecove.failures")
 
@@ -24,7 +21,7 @@
 class Failures:
     """Judges machines and jobs."""
 
-    def __init__(self, owner: Owner) -> None:
+    def __init__(self, owner: Clock) -> None:
         self.owner = owner
         pace = owner.settings.params.workers
         # Pauses between single tries of a job that fails everywhere: they double up to the most.
--- a/sagecove/coordination/learning.py
+++ b/sagecove/coordination/learning.py
@@ -3,23 +3,20 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING
 
 from sagecove.coordination.model import JobRun, Machine, Placement
 from sagecove.coordination.placement import (
     fills_most,
     type_allowed,
 )
+from sagecove.coordination.ports import Learned
 from sagecove.protocol.cloud import MachineType
 
-if TYPE_CHECKING:
-    from sagecove.coordination.owner import Owner
-
 
 class Learning:
     """Learned figures."""
 
-    def __init__(self, owner: Owner) -> None:
+    def __init__(self, owner: Learned) -> None:
         self.owner = owner
         self.arrivals: dict[str, deque[float]] = {}
         self.class_dues: dict[str, list[tuple[bool, float]]] = {}
--- a/sagecove/coordination/ports.py
+++ b/sagecove/coordination/ports.py
@@ -7,9 +7,11 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 if TYPE_CHECKING:
+    from sagecove.config import Settings
     from sagecove.coordination.effects import Asked
-    from sagecove.coordination.model import JobRun, Shard
+    from sagecove.coordination.model import JobRun, Machine, Shard
     from sagecove.protocol import state as wire
+    from sagecove.protocol.cloud import MachineType
     from sagecove.storage.mirror import Event
 
 # Who hears an answer: status (None: no response; 0: never sent) and body.
@@ -19,6 +21,61 @@
 TICK_S = 0.25
 
 
+class Clock(Protocol):
+    """The owner's time (seconds of the steady clock), its settings, and its tables by name."""
+
+    now: float
+    settings: Settings
+    jobs: dict[str, JobRun]
+    machines: dict[str, Machine]
+
+    def wall(self) -> float:
+        """The time of day."""
+
+
+class Judge(Protocol):
+    """Who is to blame for errors."""
+
+    def suspect(self, job: JobRun) -> bool:
+        """The job fails everywhere."""
+
+
+class Order(Protocol):
+    """The order among jobs of equal standing."""
+
+    def rank(self, job: JobRun) -> None:
+        """Find an array's place as of now."""
+
+
+class Ranked(Clock, Protocol):
+    """What the backlog asks of its surroundings."""
+
+    @property
+    def failures(self) -> Judge:
+        """Who is to blame for errors."""
+
+    @property
+    def learning(self) -> Order:
+        """The order of arrays."""
+
+
+class Poll(Protocol):
+    """The pace of claims."""
+
+    poll_s: float
+
+
+class Learned(Clock, Protocol):
+    """What learning asks of its surroundings."""
+
+    types: dict[str, MachineType]
+    held: dict[str, Shard]
+
+    @property
+    def claims(self) -> Poll:
+        """The pace of claims."""
+
+
 class Home(Protocol):
     """Where a job's durable state is, if not in a record of its own.
 
