--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -33,7 +33,7 @@
     assert ran.returncode == 0, ran.stdout + ran.stderr
     assert "killing controller n2" in ran.stdout and "back in 3 s" in ran.stdout
     assert "run-demo-service: aborted" in ran.stdout
-    # The sweep was expanded against the stand-in servers: nine points left out, three that can't run.
+    # The sweep was expanded against the stand-in servers: nine points left out, three fail.
     assert "sweep run-demo-sweep: done (24 of 36 points done, 3 failed)" in ran.stdout
     assert ran.stdout.splitlines()[-1].endswith("all jobs ended as they should")
 
