A session known by a direct answer has its whole lease: a task could run twice

Cause: after being cut from its workers a holder learned of a worker's new session from the answer to a direct command, went on counting that worker's lease from its last answer to a report, took the new session for over within a second, and gave back a task that had just been started there.

--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -197,8 +197,17 @@
         now = owner.now
         if report.session > machine.session:
             if machine.session:
-                log.info("session over machine=%s session=%d", machine.name, report.session)
+                log.info(
+                    "session over machine=%s session=%d by=%s",
+                    machine.name,
+                    report.session,
+                    "report" if hello else "direct answer",
+                )
             self.forget_tasks(machine)
+            # The new session may have begun only now, and has its lease from then on, whoever told
+            # of it: counted from the last answer to a report, a session that a direct command's
+            # answer told of was taken for over at once, and what ran in it was started again.
+            machine.answered_at = max(machine.answered_at, now)
         machine.session, machine.seq = report.session, report.seq
         machine.brand = report.token
         machine.addr = report.addr
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -369,3 +369,27 @@
     for i in range(100, 250):
         assert world.submit(f"n{i % 3}", world.specs[f"run-{i:06d}"])[0] in (200, 201)
     world.until(lambda: len(world.completed) == 150, 120)
+
+
+def test_a_session_known_by_a_direct_answer_has_its_whole_lease() -> None:
+    # Found by a long search: the holder was cut from its workers until their leases had run out,
+    # and learned of a new session from the answer to a direct command. It went on counting from
+    # its last answer to a report, took the new session for over within a second, and placed the
+    # task that it had just started once more: it ran twice.
+    w = World(nodes=1)
+    for _ in range(6):
+        w.cloud.start("small", "a", False)
+    w.run(4)
+    w.cloud.capacity = {"small": 6, "gpu": 0}
+    for worker in w.workers.values():
+        # No report of it gets through.
+        worker.in_flight = True
+        worker.run_s = 30.0
+    answered = max(worker.lease_from for worker in w.workers.values())
+    w.until(lambda: w.now - answered > 12.1, 20)
+    w.submit("n0", job(1, vcpus=4.0, hands=2))
+    w.until(lambda: w.running("run-000001") == 2, 5)
+    sessions = [worker.session for worker in w.workers.values()]
+    assert 2 in sessions
+    # The rules are checked at each start.
+    w.run(8)
