--- a/sagecove/sweeps/claims.py
+++ b/sagecove/sweeps/claims.py
@@ -123,6 +123,12 @@
                 self._claimed(k, shard)
         for k in members(gone & ~over):
             self._given_back(k)
+        self.note_complete()
+
+    def note_complete(self) -> None:
+        """Something was learned of the block: is it over by now?"""
+        if self.complete:
+            self.sweep.complete.setdefault(self.number, self)
 
     def _run(self, k: int) -> JobRun | None:
         """The job of a point, made if it is not there yet."""
--- a/sagecove/sweeps/decisions.py
+++ b/sagecove/sweeps/decisions.py
@@ -133,6 +133,7 @@
         before, sweep.over_blocks = sweep.over_blocks, taskset.decode(record.over)
         for number in members(sweep.over_blocks & ~before):
             block = sweep.blocks.pop(number, None)
+            sweep.complete.pop(number, None)
             if block is None or block.left_out:
                 mask = sweep.mask(number)
                 for group in sweep.groups.values():
@@ -228,6 +229,7 @@
                 if not claimed >> k & 1:
                     self._look(sweep, block, k)
             block.scanned = True
+            block.note_complete()
             if block.bad:
                 self.touched[block.key] = block
         if sweep.scanned == len(sweep.order):
@@ -279,7 +281,9 @@
                 # What has not been looked through is taken to be like what has.
                 unseen = sweep.size - min(sweep.size, sweep.scanned * sweep.block)
                 count = group.waiting.bit_count()
-                if unseen:
+                if 0 < unseen < sweep.size:
+                    # Groups may be known by claimed points before anything was looked through: a
+                    # controller that had just started divided by nothing here, and ended.
                     count += unseen * group.seen // (sweep.size - unseen)
                 if count:
                     cpus, gpus = count * group.cpus, count * group.gpus
@@ -348,9 +352,8 @@
         if sweep.closing or node not in owner.shards.acting_shards(now):
             return
         ready: list[Block] = []
-        for number, block in sweep.blocks.items():
-            if block.busy or not block.complete:
-                block.over_since = None
+        for number, block in sweep.complete.items():
+            if block.busy:
                 continue
             if block.over_since is None:
                 block.over_since = now
--- a/sagecove/sweeps/model.py
+++ b/sagecove/sweeps/model.py
@@ -74,6 +74,8 @@
             self.own |= self.mask(number)
         self.scanned = 0
         self.left_out = 0
+        # Blocks of which all points are over: thousands are not, and are not looked at for it.
+        self.complete: dict[int, Block] = {}
         self.closing = False
         self.closed_at = -1e9
         self._reasons: dict[tuple[object, ...], str | None] = {}
--- a/tests/test_sweeps.py
+++ b/tests/test_sweeps.py
@@ -435,3 +435,21 @@
         told = w.user("n2", "GET", f"/api/jobs/run-s.p{k}")[1]["standing"]
         assert told in ("aborted", "done")
     assert not [k for k in w.state.keys if k.startswith(("s/job/", "s/points/"))]
+
+
+def test_a_controller_that_starts_knows_groups_before_it_has_looked_through_the_sweep() -> None:
+    # Found by the long search: it divided by the number of points it had looked through.
+    w = world(4)
+    submit(w, "x in 1..60")
+    w.until(lambda: len(w.completed) > 10, 60)
+    w.kill("n0")
+    w.run(3)
+    w.boot_node(0)
+    owner = w.owners["n0"]
+    w.until(lambda: bool(owner.jobs), 5)
+    sweep = owner.features[0].sweeps["run-s"]
+    sweep.scanned = 0
+    spec = next(iter(owner.jobs.values())).spec
+    sweep.group(spec)
+    assert all(load[3] >= 0 for load in owner.features[0].loads())
+    w.until(lambda: over(w), 120)
