--- a/bench/search.py
+++ b/bench/search.py
@@ -1,5 +1,7 @@
 """A long search for histories of sweeps that break a rule or lose a point: the machine of
-tests/test_sweep_machine.py with new seeds. Usage: python -m bench.search [EXAMPLES [STEPS [shrink]]]
+tests/test_sweep_machine.py with new seeds.
+
+Usage: python -m bench.search [EXAMPLES [STEPS [shrink]]]
 
 A find is printed as the history that shows it (with `shrink`, the shortest); it becomes a story.
 """
