Said once: a block's claimed points, a point's time, reading a file, timing owners

Cause: a last reading of the change found the union of a block's claims written four times, the moment of a point three times, a wrapper around the members of a set, a record of blocks with failures that nobody read, and the same stopwatch in two measurements. Behaviour is as it was.

--- a/bench/backlog.py
+++ b/bench/backlog.py
@@ -6,13 +6,13 @@
 
 import gc
 import sys
-import time
 import tracemalloc
 from random import Random
 from typing import Any
 
 import msgspec
 
+from bench.timing import owners_time
 from sagecove.coordination.owner import Owner
 from sagecove.lab.deployment import job, settings
 from sagecove.lab.world import World
@@ -34,22 +34,9 @@
         put = {"put": f"s/job/{spec['nameId']}", "v": {"spec": spec, "at": w.now + number / 1e4}}
         w.state.commit({"if": [], "then": [put]})
     w.run(5)
-    spent = [0.0]
-    handle = Owner.handle
-
-    def timed(self: Owner, *args: Any) -> Any:
-        begun = time.process_time()
-        try:
-            return handle(self, *args)
-        finally:
-            spent[0] += time.process_time() - begun
-
     # Some tasks end all the time, so that there is room now and then.
-    Owner.handle = timed  # type: ignore[method-assign]
-    try:
+    with owners_time() as spent:
         w.run(seconds)
-    finally:
-        Owner.handle = handle  # type: ignore[method-assign]
     return 1000 * spent[0] / seconds / 3, len(w.owners["n0"].jobs)
 
 
--- a/bench/sweeps.py
+++ b/bench/sweeps.py
@@ -5,11 +5,10 @@
 """
 
 import sys
-import time
 from statistics import median
 from typing import Any
 
-from sagecove.coordination.owner import Owner
+from bench.timing import owners_time
 from sagecove.features import load, maker
 from sagecove.lab import deployment
 from sagecove.lab.deployment import job
@@ -36,23 +35,14 @@
         worker.run_s = 3.0
     # Checking each start against all machines would take longer than all the rest.
     w.started = lambda worker, task: None  # type: ignore[method-assign]
-    spent, writes = [0.0], [0]
-    handle = Owner.handle
-
-    def timed(self: Owner, *args: Any) -> Any:
-        begun = time.process_time()
-        try:
-            return handle(self, *args)
-        finally:
-            spent[0] += time.process_time() - begun
+    writes = [0]
 
     def counted(node: str, body: dict[str, Any]) -> None:
         writes[0] += len(body["then"])
 
     w.state.hook = counted
-    Owner.handle = timed  # type: ignore[method-assign]
     begun = w.now
-    try:
+    with owners_time() as spent:
         if kind == "sweep":
             body = {"id": "run-s", "space": f"x in 1..{count}", "job": point()}
             w.user("n0", "POST", "/api/sweeps", body)
@@ -60,8 +50,6 @@
             w.submit("n0", {**point(), "nameId": "run-a", "hands": count})
         while len(w.completed) < count and w.now - begun < 36000:
             w.run(1.0)
-    finally:
-        Owner.handle = handle  # type: ignore[method-assign]
     assert len(w.completed) == count
     return 1000 * spent[0] / count, writes[0] / count, count / (w.now - begun)
 
--- a/sagecove/config.py
+++ b/sagecove/config.py
@@ -153,13 +153,18 @@
         return min(0.65 * workers.lease_s, 0.72 * (workers.cancel_s - workers.lease_s))
 
 
-def load(path: str) -> Settings:
-    """Read and check a settings file."""
+def read(path: str) -> bytes:
+    """A file's content; `SettingsError` if it can't be had."""
     try:
         with open(path, "rb") as file:
-            raw = file.read()
+            return file.read()
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from None
+
+
+def load(path: str) -> Settings:
+    """Read and check a settings file."""
+    raw = read(path)
     try:
         settings = msgspec.json.decode(raw, type=Settings)
     except msgspec.MsgspecError as error:
--- a/sagecove/coordination/requests.py
+++ b/sagecove/coordination/requests.py
@@ -35,10 +35,8 @@
                 self.owner.users.submit(ask.body, ask.exchange)
         elif path.startswith("/api/jobs/"):
             job_id, _, rest = path[len("/api/jobs/") :].partition("/")
-            if rest not in ("", "cancel") and self._feature(ask):
-                pass
-            elif rest not in ("", "cancel"):
-                self.owner.effects.append(Reply(ask.exchange, 404, Refusal("no such path")))
+            if rest not in ("", "cancel"):
+                self._others(ask)
             elif ask.method != ("POST" if rest else "GET"):
                 self.owner.effects.append(Reply(ask.exchange, 405, Refusal("wrong method")))
             elif rest:
@@ -47,7 +45,12 @@
                 self.owner.users.status(job_id, ask.exchange)
         elif path == "/cluster" or path.startswith("/explain/"):
             self._view(path, ask)
-        elif not self._feature(ask):
+        else:
+            self._others(ask)
+
+    def _others(self, ask: Asked) -> None:
+        """A path that is none of the core's."""
+        if not self._feature(ask):
             self.owner.effects.append(Reply(ask.exchange, 404, Refusal("no such path")))
 
     def _feature(self, ask: Asked) -> bool:
--- a/sagecove/features.py
+++ b/sagecove/features.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from sagecove.config import SettingsError
+from sagecove.config import SettingsError, read
 
 if TYPE_CHECKING:
     from sagecove.coordination.owner import Owner
@@ -28,11 +28,7 @@
 
 def load(path: str) -> Chosen:
     """Features that a file turns on, with their options; `SettingsError` names file and line."""
-    try:
-        with open(path, "rb") as file:
-            raw = file.read()
-    except OSError as error:
-        raise SettingsError(f"{path}: {error.strerror}") from None
+    raw = read(path)
     try:
         text = raw.decode()
         tables = tomllib.loads(text)
--- a/sagecove/lab/dev.py
+++ b/sagecove/lab/dev.py
@@ -164,7 +164,6 @@
     tell(f"users:       http://{lab.door}  (export SAGECOVE_CONTROLLERS={lab.door})")
     for node in lab.nodes:
         tell(f"controller {node.name}: {node.users}, log {node.log}")
-    outcome = {"status": 0}
     if demo:
         show = Demo(lab, tell)
 
@@ -183,13 +182,10 @@
         tell("Ctrl-C ends all of it")
     reactor.run()  # type: ignore[attr-defined]
     if demo:
-        outcome["status"] = 0 if show.good else 1
         tell("all jobs ended as they should" if show.good else f"FAILED: {show.why}")
         if not show.good:
             for node in lab.nodes:
                 if os.path.exists(node.log):
                     with open(node.log, encoding="utf-8", errors="replace") as file:
                         print(f"--- end of {node.log}\n" + "".join(file.readlines()[-15:]))
-    if lab.breaches:
-        outcome["status"] = 1
-    return outcome["status"]
+    return 1 if lab.breaches or (demo and not show.good) else 0
--- a/sagecove/sweeps/claims.py
+++ b/sagecove/sweeps/claims.py
@@ -17,7 +17,8 @@
 from sagecove.storage import taskset
 from sagecove.storage.records import HOLDER, JOB, OVER, QUOTA, JobRecord
 from sagecove.storage.store import Outcome, Result
-from sagecove.sweeps.model import Sweep, decoded, members
+from sagecove.storage.taskset import members
+from sagecove.sweeps.model import Sweep, decoded
 from sagecove.sweeps.records import BLOCK, SWEEP, BlockRecord, block_key, point_id
 
 if TYPE_CHECKING:
@@ -76,6 +77,14 @@
             bits |= 1 << k
         return bits
 
+    @property
+    def claimed(self) -> int:
+        """Points that some shard has claimed."""
+        bits = 0
+        for some in self.claims.values():
+            bits |= some
+        return bits
+
     @property
     def complete(self) -> bool:
         """All points are over, or left out."""
@@ -94,7 +103,7 @@
     def update(self, record: BlockRecord, stamp: int) -> None:
         """Take over a newer record: points are claimed, given back, over."""
         owner, sweep = self.owner, self.sweep
-        before_over, before = self.over, self.claims
+        before_over, before, gone = self.over, self.claims, self.claimed
         self.stamp = stamp
         sets = decoded(record, self.size)
         self.claims, self.done, self.cancelled, self.failed = (
@@ -114,11 +123,8 @@
                 self.feature.remember(job_id, DONE)
             elif self.cancelled >> k & 1:
                 self.feature.remember(job_id, CANCELLED)
-        gone = 0
-        for bits in before.values():
-            gone |= bits
+        gone &= ~self.claimed
         for shard, bits in self.claims.items():
-            gone &= ~bits
             for k in members(bits & ~before.get(shard, 0) & ~over):
                 self._claimed(k, shard)
         for k in members(gone & ~over):
@@ -138,9 +144,7 @@
             spec = self.sweep.spec(self.first + k)
             if spec is None or isinstance(spec, str):
                 return None
-            # A moment apart, so that among equals the lower number comes first.
-            at = self.sweep.record.at + 1e-6 * (self.first + k)
-            job = JobRun(JobRecord(spec, at), self.stamp)
+            job = JobRun(JobRecord(spec, self.sweep.at(self.first + k)), self.stamp)
             job.home = self
             self.owner.job_seen(job)
         return job
@@ -237,8 +241,8 @@
             if spec is None or isinstance(spec, str):
                 continue
             made |= 1 << k
-            at = sweep.record.at + 1e-6 * (self.first + k)
-            jobs.append(wire.Put(JOB + spec.id, JobRecord(spec, at, sweep=sweep.id)))
+            job = JobRecord(spec, sweep.at(self.first + k), sweep=sweep.id)
+            jobs.append(wire.Put(JOB + spec.id, job))
             conditions += [(JOB + spec.id, 0), (OVER + spec.id, 0)]
         record.made = taskset.encode(made)
         self._commit(shard, conditions, [wire.Put(self.key, record), *jobs], [], [])
@@ -298,20 +302,14 @@
 
     def _last(self) -> bool:
         """What is finishing ends all that is claimed of the block: nothing more will come soon."""
-        claimed = 0
-        for bits in self.claims.values():
-            claimed |= bits
-        return claimed.bit_count() <= len(self.finishing)
+        return self.claimed.bit_count() <= len(self.finishing)
 
     def _drop_stale(self, acting: dict[str, Shard]) -> None:
         """What was decided under a term that is over, or for a job that is, is void; and so is what
         rested on claims that are not there any more: it waits here while another write of the
         block is under way. Without that check a point that another shard had claimed meanwhile
         was claimed by both, and ran twice."""
-        claimed = 0
-        for bits in self.claims.values():
-            claimed |= bits
-        over = self.over
+        claimed, over = self.claimed, self.over
         for queue in (self.claiming, self.giving, self.finishing):
             for k, (job, shard) in list(queue.items()):
                 mine = self.claims.get(shard.name, 0)
--- a/sagecove/sweeps/decisions.py
+++ b/sagecove/sweeps/decisions.py
@@ -21,9 +21,10 @@
 from sagecove.storage.mirror import Event
 from sagecove.storage.records import JOB, MEMBER, OVER, OverRecord
 from sagecove.storage.store import Outcome, Result, decode
+from sagecove.storage.taskset import members
 from sagecove.sweeps import records as r
 from sagecove.sweeps.claims import Block
-from sagecove.sweeps.model import Group, Sweep, members
+from sagecove.sweeps.model import Group, Sweep
 
 if TYPE_CHECKING:
     from sagecove.coordination.effects import Asked
@@ -222,9 +223,7 @@
             points -= block.size
             # What has a record of its own waits no more: after a start such points were made again
             # and again, in vain, and their block never came to its end.
-            claimed = block.over | block.made
-            for bits in block.claims.values():
-                claimed |= bits
+            claimed = block.over | block.made | block.claimed
             for k in range(block.size):
                 if not claimed >> k & 1:
                     self._look(sweep, block, k)
@@ -287,19 +286,15 @@
                     count += unseen * group.seen // (sweep.size - unseen)
                 if count:
                     cpus, gpus = count * group.cpus, count * group.gpus
-                    at = sweep.record.at + 1e-6 * sweep.size
-                    yield at, f"{sweep.id}.p", group.team, cpus, gpus
+                    yield sweep.at(sweep.size), f"{sweep.id}.p", group.team, cpus, gpus
 
     def _ask_ends(self, sweep: Sweep, block: Block) -> None:
         """Whose block it is reads how its made points ended; if that controller is down, another
         does. A read that finds nothing is repeated: the mirror may be behind."""
         owner = self.owner
-        mine = block.number in sweep.own_blocks
-        if not mine and any(
-            MEMBER + n in owner.mirror.items
-            for t, n in enumerate(sorted(owner.settings.nodes))
-            if t == block.number % len(owner.settings.nodes)
-        ):
+        nodes = sorted(owner.settings.nodes)
+        whose = nodes[block.number % len(nodes)]
+        if whose != owner.settings.node and MEMBER + whose in owner.mirror.items:
             return
         for k in members(block.made):
             job_id = r.point_id(sweep.id, block.first + k)
@@ -380,17 +375,12 @@
         owner = self.owner
         node = owner.settings.node
         old = sweep.progress
-        failures = taskset.decode(old.failures)
-        for block in ready:
-            if block.failed:
-                failures |= 1 << block.number
         progress = r.ProgressRecord(
             taskset.encode(over),
             old.done + sum(b.done.bit_count() for b in ready),
             old.failed + sum(len(b.failed) for b in ready),
             old.cancelled + sum(b.cancelled.bit_count() for b in ready),
             old.left_out + sum(b.left_out.bit_count() for b in ready),
-            taskset.encode(failures),
         )
         conditions = [
             (r.SWEEP + sweep.id, sweep.stamp),
--- a/sagecove/sweeps/model.py
+++ b/sagecove/sweeps/model.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
 from sagecove.protocol.users import ARRAY, Job
@@ -88,6 +88,11 @@
         first = number * self.block
         return taskset.full(min(self.block, self.size - first)) << first
 
+    def at(self, k: int) -> float:
+        """When point k counts as submitted: a moment apart, so that among equals the lower number
+        comes first."""
+        return self.record.at + 1e-6 * k
+
     def values(self, k: int) -> dict[str, Value] | None:
         """What point k binds; None if it is left out."""
         if self.only is not None and not self.only >> k & 1:
@@ -105,10 +110,9 @@
             return None
         try:
             self.form.check_values({name: values[name] for name in self.names})
-            spec = self.form.fill(point_id(self.id, k), values)
+            return self.form.fill(point_id(self.id, k), values)
         except TemplateError as error:
             return str(error)
-        return spec
 
     def impossible(self, spec: Job, judge: Callable[[Job], str | None]) -> str | None:
         """Why a point's job can never run, by the core's judge; like needs are judged once."""
@@ -183,8 +187,3 @@
     failed = {int(k): why for k, why in record.failed.items() if k.isdecimal() and int(k) < size}
     sets = [taskset.decode(text) & every for text in (record.done, record.cancelled, record.made)]
     return Sets(claims, sets[0], sets[1], sets[2], failed)
-
-
-def members(bits: int) -> Iterator[int]:
-    """Numbers of a set, ascending."""
-    return taskset.members(bits)
--- a/sagecove/sweeps/records.py
+++ b/sagecove/sweeps/records.py
@@ -109,8 +109,6 @@
     failed: int = 0
     cancelled: int = 0
     left_out: int = 0
-    # Blocks with points that failed: where to look for the reasons.
-    failures: str = ""
 
 
 class SweepOver(msgspec.Struct, omit_defaults=True):
