Keep what teams use and claim in one ledger; passes look at jobs that something happened to

Used, claimed and running are now booked where a placement, a claim or a machine changes (ledger.py), in integers. A recount checks them after each batch of every story (recount.py); run never does. Active jobs through with placing are left alone until stirred.

--- a/sagecove/coordination/backlog.py
+++ b/sagecove/coordination/backlog.py
@@ -79,6 +79,8 @@
     def __init__(self, owner: Ranked) -> None:
         self.owner = owner
         self.active: dict[str, JobRun] = {}
+        # Active jobs that something has happened to, or is to be done for: passes look at these.
+        self.open: dict[str, JobRun] = {}
         self.groups: dict[Key, Group] = {}
         self.resting = 0
 
@@ -90,6 +92,7 @@
         self.remove(job)
         if key is None:
             self.active[job.id] = job
+            self.open[job.id] = job
         else:
             group = self.groups.get(key)
             if group is None:
@@ -101,6 +104,7 @@
     def remove(self, job: JobRun) -> None:
         """A job has gone, or is to be sorted anew."""
         self.active.pop(job.id, None)
+        self.open.pop(job.id, None)
         if job.alike is not None:
             group = self.groups.get(job.alike)
             if group is not None and group.jobs.pop(job.id, None) is not None:
@@ -109,11 +113,31 @@
                     del self.groups[job.alike]
             job.alike = None
 
-    def settle_active(self) -> None:
+    def settle_open(self) -> None:
         """Active jobs may have come to rest without anybody saying so."""
-        for job in [j for j in self.active.values() if resting(j)]:
+        for job in [j for j in self.open.values() if resting(j)]:
             self.settle(job)
 
+    def stir(self, job: JobRun) -> None:
+        """Something has happened to a job: the next pass looks at it."""
+        if job.id in self.active:
+            self.open[job.id] = job
+
+    def through(self, job: JobRun, held: list[str]) -> bool:
+        """Nothing is to be done for an active job until something happens to it: all of it that is
+        this controller's is on machines and meant to be. Most active jobs are; no pass looks at
+        them again before they are stirred."""
+        if job.unclaimed or job.reserved or job.stuck_at or job.fresh:
+            return False
+        if job.committing or job.releasing or job.limbo or job.claiming is not None:
+            return False
+        if job.gang and (job.failing or any(p.halt is not None for p in job.placed.values())):
+            return False
+        if any(job.placeable(shard) for shard in held):
+            return False
+        del self.open[job.id]
+        return True
+
     def first(self, group: Group, now: float, most: int = FIRST) -> Iterator[JobRun]:
         """The first jobs of a group by the order of claims, those left out that may not be claimed
         at the moment."""
--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -155,24 +155,16 @@
         owner = self.owner
         names = [shard.name for shard in shards]
         found = []
-        for job in owner.backlog.active.values():
-            if len(job.placed) == job.spec.tasks and not job.reserved and not job.stuck_at:
-                # All of it is on machines, as are most active jobs.
-                job.lacking_since = None
-                continue
-            if (
-                not job.unclaimed
-                and not job.reserved
-                and not job.stuck_at
-                and not any(name in job.claims for name in names)
-            ):
-                # Others have it.
+        for job in list(owner.backlog.open.values()):
+            if owner.backlog.through(job, names):
                 job.lacking_since = None
                 continue
             if owner.failures.suspect(job) and not self._may_probe(job):
                 # Fails wherever it runs: until its next try it costs nobody anything.
                 continue
-            if (
+            if not (
+                len(job.placed) == job.spec.tasks and not job.reserved and not job.stuck_at
+            ) and (
                 job.unclaimed
                 or job.reserved
                 or job.stuck_at
@@ -302,7 +294,7 @@
     def _record(self, now: float, shards: list[Shard]) -> None:
         """Make finished tasks durable; end jobs whose last task has."""
         owner = self.owner
-        for job in list(owner.backlog.active.values()):
+        for job in list(owner.backlog.open.values()):
             if not job.fresh or job.committing:
                 continue
             shard = next((s for s in shards if job.claims.get(s.name, 0) & job.fresh), None)
@@ -384,7 +376,7 @@
     def _gangs(self, now: float) -> None:
         """A gang that lost a task ends as a whole, and starts anew once all of it is gone."""
         workers = self.owner.workers
-        for job in self.owner.backlog.active.values():
+        for job in self.owner.backlog.open.values():
             if not job.gang:
                 continue
             live = [p for p in job.placed.values() if p.live]
@@ -591,12 +583,9 @@
             return
         placement = Placement(job, index, task, attempt, machine)
         placement.started_at = now
-        machine.tasks[task] = placement
-        machine.take(job.spec, 1)
+        owner.ledger.put(machine, placement)
         owner.workers.hurry(machine)
-        job.add(placement)
         job.attempt = attempt
-        owner.quota.started(machine.record.shard, job.spec)
         log.info(
             "start task=%s attempt=%d machine=%s team=%s waited=%.1f",
             task,
@@ -829,7 +818,7 @@
             job.committing = True
             job.claiming = (shard.name, bits)
             owner.backlog.settle(job)
-            owner.quota.claiming(shard.name, job.spec, bits.bit_count())
+            owner.ledger.claims(job)
             job.home.claim(job, shard, bits)
             return
         made = self.claim_changes(shard, job, bits)
@@ -841,11 +830,12 @@
         job.committing = True
         job.claiming = (shard.name, bits)
         owner.backlog.settle(job)
-        owner.quota.forget()
+        owner.ledger.claims(job)
 
         def done(result: Result) -> None:
             job.committing = False
             job.claiming = None
+            owner.ledger.claims(job)
             self.open_claims -= 1
             owner.dirty = True
             if result.outcome is Outcome.DONE:
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -27,6 +27,7 @@
         "attempt",
         "blamed",
         "blamed_elsewhere_at",
+        "booked",
         "claim_after",
         "claiming",
         "claims",
@@ -55,6 +56,7 @@
         "reserved",
         "reserved_until",
         "rounds",
+        "running",
         "seen_at",
         "service",
         "spec",
@@ -93,6 +95,9 @@
         self.fresh = 0
         self.placed: dict[int, Placement] = {}
         self.placed_bits = 0
+        # Tasks of these that run, and per shard held here how many its claims count: by `Ledger`.
+        self.running = 0
+        self.booked: dict[str, int] | None = None
         # Per shard: tasks claimed before a takeover that may be on a machine not heard of yet.
         self.limbo: dict[str, int] = {}
         # Tasks whose release is under way: placed by nobody until its outcome is known.
@@ -218,6 +223,8 @@
     # A direct launch got no answer under this token: it may be executed until a higher is seen.
     doubt_token: int = -1
     reaping: bool = False
+    # It takes room in the books, see `Ledger`.
+    counted: bool = False
 
     @property
     def live(self) -> bool:
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -17,6 +17,7 @@
 from sagecove.coordination.failures import Failures
 from sagecove.coordination.leadership import Leadership
 from sagecove.coordination.learning import Learning
+from sagecove.coordination.ledger import Ledger
 from sagecove.coordination.model import JobRun, Machine, Shard
 from sagecove.coordination.peers import Peers
 from sagecove.coordination.placement import (
@@ -96,6 +97,7 @@
         self.shards = Shards(self)
         self.requests = Requests(self)
         self.backlog = Backlog(self)
+        self.ledger = Ledger(self)
         self.quota = Quota(self)
         self.leadership = Leadership(self)
         self.failures = Failures(self)
@@ -181,14 +183,13 @@
         self.dirty = True
 
     def _pass(self, now: float) -> None:
-        self.quota.forget()
         if self.jobs_changed:
             self.jobs_changed = False
             loads = [load for feature in self.features for load in feature.loads()]
             self.quota.assign_guarantees(loads)
         for feature in self.features:
             feature.before_pass(now)
-        self.backlog.settle_active()
+        self.backlog.settle_open()
         self.claims.run(now)
         for feature in self.features:
             feature.after_pass(now)
@@ -298,6 +299,7 @@
         else:
             job.update(event.value, event.stamp)
             self.backlog.settle(job)
+            self.ledger.claims(job)
 
     def job_seen(self, job: JobRun) -> None:
         """A job is new here."""
@@ -311,6 +313,7 @@
         for feature in self.features:
             feature.job_seen(job)
         self.backlog.settle(job)
+        self.ledger.claims(job)
 
     def job_over(self, job: JobRun) -> None:
         """A job is done or cancelled, durably: whatever of it is still on machines stops."""
@@ -323,6 +326,7 @@
         self.peers.hungry.pop(job.id, None)
         for placement in list(job.placed.values()):
             self.workers.halt(placement, 0.0, "job over")
+        self.ledger.over(job)
 
     def _machine_changed(self, name: str, event: Event) -> None:
         machine = self.machines.get(name)
@@ -335,6 +339,7 @@
                 machine.known = False
                 self.workers.forget_tasks(machine)
                 self.shards.machine_resolved(machine)
+                self.ledger.look(machine)
             return
         record: r.MachineRecord = event.value
         if machine is None:
@@ -343,6 +348,7 @@
         else:
             if machine.record.shard != record.shard:
                 self.by_shard.get(machine.record.shard, {}).pop(name, None)
+                self.ledger.moved(machine)
                 machine.record = record
                 machine.reset(self.now)
             machine.record = record
@@ -354,6 +360,7 @@
         machine.kind = kind = self.types.get(machine.record.type)
         if kind is not None:
             machine.dear = dearness(kind, machine.record.spot, self.base_price)
+        self.ledger.look(machine)
 
     # -- shards ---------------------------------------------------------------------------------
 
--- a/sagecove/coordination/quota.py
+++ b/sagecove/coordination/quota.py
@@ -32,19 +32,12 @@
         # Per team, when its jobs were submitted and their ids, in order; and those within.
         self.lines: dict[str, list[tuple[float, str]]] = {}
         self.within: dict[str, JobRun] = {}
-        self._used: dict[str, dict[str, list[float]]] = {}
-        self._claimed: dict[str, dict[str, list[float]]] = {}
 
     def record(self, team: str) -> QuotaRecord:
         """A team's allotments."""
         item = self.owner.mirror.items.get(QUOTA + team)
         return item.value if item and item.value is not None else QuotaRecord()
 
-    def forget(self) -> None:
-        """Tasks or claims have changed: count again when asked."""
-        self._used.clear()
-        self._claimed.clear()
-
     def allotted(self, shard: str, team: str) -> Pair:
         """A shard's allotment; while a reduction is on its way, already the reduced one."""
         allot = self.record(team).shards.get(shard, (0.0, 0.0))
@@ -66,38 +59,7 @@
 
     def used(self, shard: str, team: str) -> Pair:
         """An upper bound of what a team's tasks take on a shard's machines."""
-        table = self._used.get(shard)
-        if table is None:
-            table = self._used[shard] = self._count_used(shard)
-        have = table.get(team, (0.0, 0.0))
-        anyone = table[""]
-        return have[0] + anyone[0], have[1] + anyone[1]
-
-    def _count_used(self, shard: str) -> dict[str, list[float]]:
-        table: dict[str, list[float]] = {"": [0.0, 0.0]}
-        owner = self.owner
-        unknown = owner.held[shard].unknown
-        for machine in owner.shards.shard_machines(shard):
-            if machine.name in unknown or machine.murky:
-                # Whose tasks are here is not known yet: count all of the machine for every team.
-                kind = machine.kind
-                table[""][0] += kind.cpus if kind else 1e9
-                table[""][1] += kind.gpus if kind else 1e9
-                continue
-            for placement in machine.tasks.values():
-                if placement.live and placement.job is not None:
-                    spec = placement.job.spec
-                    have = table.setdefault(spec.team, [0.0, 0.0])
-                    have[0] += spec.cpus
-                    have[1] += spec.gpus
-        return table
-
-    def started(self, shard: str, spec: Job) -> None:
-        """A task was placed: count it without counting all again."""
-        if (table := self._used.get(shard)) is not None:
-            have = table.setdefault(spec.team, [0.0, 0.0])
-            have[0] += spec.cpus
-            have[1] += spec.gpus
+        return self.owner.ledger.used(shard, team)
 
     def places(self, shard: str, spec: Job, wanted: int) -> int:
         """How many more tasks of this kind a shard may start within its allotment."""
@@ -107,30 +69,10 @@
 
     def committed(self, shard: str, team: str) -> Pair:
         """What all of a shard's claims of a team will take, or its tasks take if that is more."""
-        table = self._claimed.get(shard)
-        if table is None:
-            table = self._claimed[shard] = {}
-            for job in self.owner.backlog.active.values():
-                bits = job.claimed(shard)
-                if job.claiming is not None and job.claiming[0] == shard:
-                    # A claim under way: what it needs must not be given back meanwhile.
-                    bits |= job.claiming[1]
-                if bits:
-                    count = bits.bit_count()
-                    have = table.setdefault(job.spec.team, [0.0, 0.0])
-                    have[0] += count * job.spec.cpus
-                    have[1] += count * job.spec.gpus
-        claimed = table.get(team, (0.0, 0.0))
+        claimed = self.owner.ledger.claimed(shard, team)
         used = self.used(shard, team)
         return max(claimed[0], used[0]), max(claimed[1], used[1])
 
-    def claiming(self, shard: str, spec: Job, count: int) -> None:
-        """A claim was begun: count it without counting all again."""
-        if (table := self._claimed.get(shard)) is not None:
-            have = table.setdefault(spec.team, [0.0, 0.0])
-            have[0] += count * spec.cpus
-            have[1] += count * spec.gpus
-
     def claimable(self, shard: str, spec: Job, wanted: int) -> int:
         """How many more tasks a shard may claim, its allotment grown by all that is spare."""
         allot = self.allotted(shard, spec.team)
@@ -175,7 +117,7 @@
         # Per team, the most that a job needs at once that waits to be claimed.
         waiting: dict[str, list[float]] = {}
         rested = [group.any() for group in self.owner.backlog.groups.values()]
-        for job in chain(self.owner.backlog.active.values(), rested):
+        for job in chain(self.owner.backlog.open.values(), rested):
             if job.unclaimed:
                 need = waiting.setdefault(job.spec.team, [0.0, 0.0])
                 count = job.unclaimed.bit_count() if job.whole else 1
--- a/sagecove/coordination/shards.py
+++ b/sagecove/coordination/shards.py
@@ -61,12 +61,13 @@
         for machine in machines:
             machine.reset(self.owner.now)
         shard.unknown = {m.name for m in machines}
+        jobs = list(self.owner.backlog.active.values())
         if shard.unknown:
-            for job in self.owner.backlog.active.values():
+            for job in jobs:
                 if bits := job.claimed(shard.name):
                     job.limbo[shard.name] = bits
+        self.owner.ledger.opened(shard, jobs)
         log.info("shard gained shard=%s term=%d machines=%d", shard.name, shard.term, len(machines))
-        self.owner.quota.forget()
         self.owner.dirty = True
 
     def lose_shard(self, name: str) -> None:
@@ -75,16 +76,15 @@
         if shard is None:
             return
         log.info("shard lost shard=%s term=%d", name, shard.term)
+        jobs = list(self.owner.backlog.active.values())
+        self.owner.ledger.closed(name, jobs)
         for machine in self.shard_machines(name):
-            for placement in machine.tasks.values():
-                if placement.job is not None:
-                    placement.job.remove(placement)
             machine.reset(self.owner.now)
-        for job in self.owner.backlog.active.values():
+        for job in jobs:
             job.limbo.pop(name, None)
             job.stuck_at.pop(name, None)
             job.fresh &= ~job.claims.get(name, 0)
-        self.owner.quota.forget()
+            self.owner.ledger.claims(job)
 
     def machine_resolved(self, machine: Machine) -> None:
         """What an earlier holder may have left on this machine is known: it has reported under the
@@ -93,10 +93,11 @@
         if shard is None or machine.name not in shard.unknown:
             return
         shard.unknown.discard(machine.name)
-        self.owner.quota.forget()
+        self.owner.ledger.look(machine)
         if not shard.unknown:
             for job in self.owner.backlog.active.values():
-                job.limbo.pop(shard.name, None)
+                if job.limbo.pop(shard.name, None):
+                    self.owner.backlog.stir(job)
             self.owner.dirty = True
 
     def gang_home(self, job: JobRun) -> str | None:
@@ -129,7 +130,7 @@
         """Room of a shard's machines that its claimed but unplaced tasks will take."""
         promised: Room = {}
         machines = self.shard_machines(shard)
-        for job in self.owner.backlog.active.values():
+        for job in self.owner.backlog.open.values():
             bits = 0 if self.owner.failures.suspect(job) else job.placeable(shard)
             if bits and job.reserved:
                 keep_reserved(promised, job)
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -253,8 +253,8 @@
         if machine.notice:
             self._save(machine)
         if machine.strays or strays:
-            owner.quota.forget()
-        machine.strays = strays
+            machine.strays = strays
+            owner.ledger.look(machine)
         if first:
             owner.shards.machine_resolved(machine)
         owner.dirty = True
@@ -280,25 +280,20 @@
             return None
         placement = Placement(job, index, hand.task, hand.attempt, machine)
         placement.started_at = self.owner.now
-        machine.tasks[hand.task] = placement
-        machine.take(job.spec, 1)
-        job.add(placement)
+        self.owner.ledger.put(machine, placement)
         if (limbo := job.limbo.get(machine.record.shard)) is not None:
             job.limbo[machine.record.shard] = limbo & ~(1 << index)
         if job.gang and job.attempt != hand.attempt:
             if len(job.placed) > 1:
                 job.failing = True
             job.attempt = max(job.attempt, hand.attempt)
-        self.owner.quota.forget()
         return placement
 
     def _observe(self, machine: Machine, placement: Placement, hand: w.Hand) -> None:
         owner = self.owner
-        before = placement.state
-        placement.state = hand.state
-        if before == hand.state:
+        if placement.state == hand.state:
             return
-        owner.quota.forget()
+        owner.ledger.state(placement, hand.state)
         job = placement.job
         assert job is not None
         if hand.state in (w.TASK_RUNNING, w.WAITING) and job.spec.image not in machine.images:
@@ -308,9 +303,7 @@
             placement.running_at = owner.now
         if hand.state != w.EXITED:
             return
-        machine.take(job.spec, -1)
         placement.why = hand.why
-        job.remove(placement)
         if hand.why == w.WHY_DONE:
             owner.learning.learned(placement)
             owner.failures.completed(machine, job)
@@ -334,6 +327,7 @@
                 job.hold_until = max(job.hold_until, owner.now + self.pace.report_s)
             if job.gang:
                 job.failing = True
+        owner.ledger.claims(job)
         if not machine.tasks:
             machine.idle_since = owner.now
 
@@ -346,25 +340,22 @@
 
     def drop(self, machine: Machine, placement: Placement) -> None:
         """A task is provably gone from its machine."""
-        if machine.tasks.get(placement.task) is placement:
-            del machine.tasks[placement.task]
         job = placement.job
-        if placement.live and job is not None:
-            machine.take(job.spec, -1)
-            job.remove(placement)
-            if job.gang and placement.state != SENT:
-                job.failing = True
+        if placement.live and job is not None and job.gang and placement.state != SENT:
+            job.failing = True
+        self.owner.ledger.drop(machine, placement)
         if not machine.tasks:
             machine.idle_since = self.owner.now
-        self.owner.quota.forget()
         self.owner.dirty = True
 
     def forget_tasks(self, machine: Machine) -> None:
         """All tasks of a session are gone."""
         for placement in list(machine.tasks.values()):
             self.drop(machine, placement)
-        machine.strays = {}
         machine.used = [0.0, 0.0, 0.0]
+        if machine.strays:
+            machine.strays = {}
+            self.owner.ledger.look(machine)
 
     def tick(self, now: float) -> None:
         """Resolve machines whose lease has surely run out, and ask to delete the silent ones."""
@@ -566,5 +557,7 @@
             )
         placement.halt = grace
         placement.for_whom = reason
+        if placement.job is not None:
+            self.owner.backlog.stir(placement.job)
         self.hurry(placement.machine)
         self.owner.dirty = True
--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -15,6 +15,7 @@
 
 from sagecove.coordination.effects import Answered, Asked, Call, Reply
 from sagecove.coordination.owner import Owner
+from sagecove.coordination.recount import differences
 from sagecove.lab.deployment import settings
 from sagecove.lab.models import Answer, FakeCloud, FakeState, FakeWorker
 from sagecove.lab.rules import Rules
@@ -23,9 +24,13 @@
 class World(Rules):
     """Controllers and stand-ins, advanced together; the rules are checked at every start."""
 
-    def __init__(self, nodes: int = 3, seed: int = 1, features: Any = None) -> None:
+    def __init__(
+        self, nodes: int = 3, seed: int = 1, features: Any = None, audit: bool = True
+    ) -> None:
         super().__init__()
         self.features = features
+        # Count the books anew after each batch: linear in all there is, so not where time is taken.
+        self.audit = audit
         self.now = 1000.0
         self.random = Random(seed)
         self.events: list[tuple[float, int, Callable[[], None]]] = []
@@ -122,6 +127,8 @@
         if not batch and owner.wait() > 0.02 and self.now - owner.now < owner.wait():
             return
         effects = owner.handle(batch, self.now, self.now)
+        if self.audit and (wrong := differences(owner)):
+            raise AssertionError(f"{name}: the books are wrong: {'; '.join(wrong[:5])}")
         if (until := self.decided.pop(name, None)) is not None and effects:
             self.still[name] = until
             self.later(until - self.now, lambda: self.emit(name, owner, effects))
--- a/sagecove/sweeps/claims.py
+++ b/sagecove/sweeps/claims.py
@@ -155,12 +155,14 @@
         if job is not None:
             job.update(JobRecord(job.spec, job.at, {shard: "0"}), self.stamp)
             self.owner.backlog.settle(job)
+            self.owner.ledger.claims(job)
 
     def _given_back(self, k: int) -> None:
         job = self._run(k)
         if job is not None:
             job.update(JobRecord(job.spec, job.at), self.stamp)
             self.owner.backlog.settle(job)
+            self.owner.ledger.claims(job)
             self.sweep.group(job.spec).open |= 1 << (self.first + k)
 
     def open(self, k: int) -> None:
@@ -321,7 +323,7 @@
                     or over >> k & 1
                 ):
                     del queue[k]
-                    _settle(job)
+                    self._settle(job)
 
     def _write(self, shard: Shard) -> None:
         owner = self.owner
@@ -337,7 +339,7 @@
                 for k, (job, _) in list(claiming.items()):
                     if job.spec.team == team:
                         del claiming[k]
-                        _settle(job)
+                        self._settle(job)
                         job.claim_after = owner.now + owner.claims.poll_s / 2
             elif grown is not owner.quota.record(team):
                 changes.append(wire.Put(QUOTA + team, grown))
@@ -385,7 +387,7 @@
                 return
             self.busy = False
             for job in jobs + giving:
-                _settle(job)
+                self._settle(job)
                 if result.outcome is not Outcome.DONE:
                     job.claim_after = owner.now + owner.random.uniform(0.05, 0.5)
             if result.outcome is Outcome.DONE:
@@ -397,6 +399,13 @@
 
         owner.commit(conditions, changes, done)
 
+    def _settle(self, job: JobRun) -> None:
+        """Nothing of a job is being written any more."""
+        job.committing = False
+        job.claiming = None
+        job.releasing = 0
+        self.owner.ledger.claims(job)
+
     def _write_bad(self, now: float, acting: dict[str, Shard]) -> bool:
         """Write down which points can't run. Whose block it is does it; if that controller does
         not, another does. True if there is more to do."""
@@ -423,10 +432,3 @@
     for k in taken:
         del queue[k]
     return taken
-
-
-def _settle(job: JobRun) -> None:
-    """Nothing of a job is being written any more."""
-    job.committing = False
-    job.claiming = None
-    job.releasing = 0
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -230,6 +230,7 @@
     # The answer, or that there is none, comes when the term has changed already.
     index, placement = next(iter(run.placed.items()))
     run.releasing = 1 << index
+    owner.backlog.stir(run)
     owner.claims.retries.append((run, shard, dict(run.claims), 1 << index))
     worker = world.workers[placement.machine.name]
     worker.exit(placement.task, placement.attempt, "error")
