Passes look at machines with room and at tasks that may be stopped, not at all machines

The ledger keeps machines that are not full and tasks on their way out; silence is looked for when the first machine can be silent.

--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -35,7 +35,6 @@
     zone_counts,
 )
 from sagecove.protocol import state as wire
-from sagecove.protocol import workers as w
 from sagecove.protocol.users import DONE
 from sagecove.storage import taskset
 from sagecove.storage.records import HOLDER, JOB, OVER, QUOTA, OverRecord, QuotaRecord
@@ -93,7 +92,8 @@
         # Jobs that have tasks running in the shard at hand: what may be stopped at all.
         self.running: list[JobRun] = []
         self.sizes: list[float] = []
-        self.around: list[Machine] = []
+        # The shard at hand.
+        self.around = ""
         self.yielding: dict[tuple[object, ...], dict[str, list[float]]] = {}
         self.retries: list[tuple[JobRun, Shard, dict[str, int], int]] = []
 
@@ -114,34 +114,39 @@
         self._record(now, shards)
         self._gangs(now)
         ordered = self._open(shards)
+        if not ordered and not owner.backlog.groups:
+            return
         # Looking for tasks to stop is the costly part: not on every pass.
         self.making = now >= self.make_at
         if self.making:
             self.make_at = now + self.poll_s / 4
         for shard in shards:
             promised: Room = {}
-            every = [m for m in owner.shards.shard_machines(shard.name) if m.open]
+            # What is full has room for nobody; what may be stopped there is found by its tasks.
+            every = owner.ledger.free(shard.name)
             # Machines to be returned take no more tasks of arrays.
             steady = [m for m in every if now >= m.drain_until]
             self.futile = Futile()
             self.futile_making = Futile()
             if self.making:
-                self.look_around(every)
+                self.look_around(shard.name)
             self.withheld = self._withhold(shard, every, ordered)
             # DESIGN: fuller machines are preferred while some await their return.
-            self.packing = len(steady) < len(every) or any(not m.tasks for m in every)
+            draining = now < owner.peers.draining.get(shard.name, -1e9)
+            self.packing = draining or any(not m.tasks for m in every)
             # One order for what is claimed and what is not: else the room for a claim that is
             # under way would go to whoever comes after it.
             self.held_back = {}
-            rested = self._rested(now, shard, every) if every else []
+            there = bool(owner.by_shard.get(shard.name))
+            rested = self._rested(now, shard, every) if there and owner.backlog.groups else []
             self.roomy = _roomy(steady, ordered + rested)
             jobs = sorted(ordered + rested, key=precedence) if rested else ordered
-            if every and any(job.home is not None for job in jobs):
+            if there and any(job.home is not None for job in jobs):
                 jobs = self._alike(now, shard, jobs, promised)
             for job in jobs:
                 machines = steady if job.array else every
                 self._place(now, shard, machines, job, promised)
-                if every:
+                if there:
                     self._compete(now, shard, machines, job, promised)
                 if not job.array and job.unclaimed and job.claiming is None:
                     self._hold_back(now, shard, job)
@@ -395,21 +400,19 @@
 
     # -- placing --------------------------------------------------------------------------------
 
-    def look_around(self, machines: list[Machine]) -> None:
-        """Note the smallest job of each standing that is running on machines (of each team, where
-        teams matter): what there is to be stopped at all."""
+    def look_around(self, shard: str) -> None:
+        """Note the smallest job of each standing that is running on a shard's machines (of each
+        team, where teams matter): what there is to be stopped at all."""
         seen: dict[tuple[object, ...], JobRun] = {}
         sizes: set[float] = set()
-        for machine in machines:
-            for p in machine.tasks.values():
-                if (job := p.job) is not None and p.state != w.EXITED:
-                    key = (job.priority, job.within, "" if job.within else job.spec.team)
-                    if key not in seen or job.spec.cpus < seen[key].spec.cpus:
-                        seen[key] = job
-                    sizes.add(job.spec.cpus)
+        for job in self.owner.ledger.running(shard):
+            key = (job.priority, job.within, "" if job.within else job.spec.team)
+            if key not in seen or job.spec.cpus < seen[key].spec.cpus:
+                seen[key] = job
+            sizes.add(job.spec.cpus)
         self.running = list(seen.values())
         self.sizes = sorted(sizes)
-        self.around = machines
+        self.around = shard
         self.yielding.clear()
 
     def _stoppable(self, job: JobRun) -> bool:
@@ -426,18 +429,19 @@
         found = self.yielding.get(key)
         if found is None:
             found = self.yielding[key] = {}
-            for machine in self.around:
-                for p in machine.tasks.values():
-                    other = p.job
-                    if (
-                        other is not None
-                        and p.state != w.EXITED
-                        and (p.halt is not None or may_stop(job, other))
-                    ):
-                        room = found.setdefault(machine.name, [0.0, 0.0, 0.0])
-                        room[0] += other.spec.cpus
-                        room[1] += other.spec.gpus
-                        room[2] += other.spec.memory_gb
+            going = self.owner.ledger.stopping(self.around)
+            for other in self.owner.ledger.running(self.around):
+                if may_stop(job, other):
+                    going += [
+                        p
+                        for p in other.placed.values()
+                        if p.halt is None and p.live and p.machine.record.shard == self.around
+                    ]
+            for p in going:
+                if p.job is not None:
+                    room = found.setdefault(p.machine.name, [0.0, 0.0, 0.0])
+                    for n, amount in enumerate(_need(p.job)):
+                        room[n] += amount
         return found
 
     def _withhold(
@@ -474,14 +478,10 @@
             return
         victims = [
             p
-            for m in owner.shards.shard_machines(shard.name)
-            for p in m.tasks.values()
-            if p.live
-            and p.halt is None
-            and p.job is not None
-            and p.job.array
-            and p.job.spec.team == spec.team
-            and p.job.priority < job.priority
+            for other in owner.ledger.running(shard.name)
+            if other.array and other.spec.team == spec.team and other.priority < job.priority
+            for p in other.placed.values()
+            if p.live and p.halt is None and p.machine.record.shard == shard.name
         ]
         victims.sort(key=lambda p: -p.started_at)
         for p in victims:
@@ -606,7 +606,7 @@
             return 0
         candidates: list[tuple[bool, float, Machine, list[Placement]]] = []
         counts = zone_counts(job)
-        for machine in machines:
+        for machine in self._candidates(job, machines):
             if not machine.open or not suits(job, machine):
                 continue
             if spec.one_zone and counts and machine.record.zone not in counts:
@@ -655,6 +655,15 @@
                 self.owner.workers.halt(p, p.job.grace_s, job.id)
         return making
 
+    def _candidates(self, job: JobRun, machines: list[Machine]) -> list[Machine]:
+        """Machines with room, and those on which tasks may be stopped for a job, in the order in
+        which they came."""
+        owner = self.owner
+        names = {m.name for m in machines} | self._yielding(job).keys()
+        if job.array:
+            names = {n for n in names if owner.now >= owner.machines[n].drain_until}
+        return [owner.machines[name] for name in sorted(names)]
+
     def _release(self, now: float, job: JobRun, shard: Shard) -> None:
         """Give back claims that found no place within a poll (a whole job's only all together)."""
         if job.committing:
@@ -760,7 +769,7 @@
         elif self.making and count < wanted and now - job.seen_at > self.poll_s / 3:
             able = self._limited(job, owner.quota.claimable(shard.name, job.spec, wanted))
             if able > count:
-                count += self.could_make(job, able - count, machines, promised)
+                count += self.could_make(job, able - count, promised)
         if not count or (job.whole and count < wanted):
             if job.gang:
                 self._gather(job, shard, wanted, machines, promised)
@@ -784,7 +793,7 @@
                 promise(promised, machine.name, job.spec)
                 count -= 1
 
-    def could_make(self, job: JobRun, count: int, machines: list[Machine], promised: Room) -> int:
+    def could_make(self, job: JobRun, count: int, promised: Room) -> int:
         """How many tasks would fit if others were stopped for them (nothing is stopped yet)."""
         making = 0
         spec = job.spec
@@ -793,7 +802,8 @@
             return 0
         zones: set[str] = set()
         yielding = self._yielding(job)
-        for machine in machines:
+        free = self.owner.ledger.free(self.around) if job.whole else []
+        for machine in self._candidates(job, free):
             if making >= count:
                 break
             more = yielding.get(machine.name)
--- a/sagecove/coordination/failures.py
+++ b/sagecove/coordination/failures.py
@@ -27,6 +27,8 @@
         # Pauses between single tries of a job that fails everywhere: they double up to the most.
         self.pause_s = 2 * pace.report_s
         self.pause_most_s = 4 * pace.lease_s
+        # Machines that are to be returned for their failures, from a moment on.
+        self.condemned: dict[str, Machine] = {}
 
     def suspect(self, job: JobRun) -> bool:
         """The job fails everywhere, as far as this controller has seen or a peer has told."""
@@ -100,6 +102,8 @@
             machine.condemned_at = self.owner.now
         elif not machine.sick:
             machine.condemned_at = self.owner.now + 2 * self.pause_s
+        if sick:
+            self.condemned[machine.name] = machine
         machine.sick = sick
 
 
--- a/sagecove/coordination/ledger.py
+++ b/sagecove/coordination/ledger.py
@@ -12,7 +12,7 @@
 
 from typing import Protocol
 
-from sagecove.coordination.model import JobRun, Machine, Placement, Shard
+from sagecove.coordination.model import EPS, JobRun, Machine, Placement, Shard
 from sagecove.coordination.ports import Clock
 from sagecove.protocol import workers as w
 
@@ -60,6 +60,9 @@
         self.whole = [0, 0]
         # Jobs that take room on the shard's machines: the job and the number of its tasks.
         self.jobs: dict[str, tuple[JobRun, int]] = {}
+        # Machines that are not full, and tasks that are on their way out, by name.
+        self.free: dict[str, Machine] = {}
+        self.stopping: dict[str, Placement] = {}
 
     def use(self, job: JobRun, count: int, sure: bool) -> None:
         """So many more tasks (or fewer) of a job take room here."""
@@ -107,6 +110,19 @@
         account = self.accounts.get(shard)
         return [job for job, _ in account.jobs.values()] if account is not None else []
 
+    def free(self, shard: str) -> list[Machine]:
+        """Machines of a shard that may be given tasks and are not full: all that a pass need look
+        at for room."""
+        account = self.accounts.get(shard)
+        if account is None:
+            return []
+        return [machine for machine in account.free.values() if machine.open]
+
+    def stopping(self, shard: str) -> list[Placement]:
+        """Tasks on a shard's machines that are on their way out."""
+        account = self.accounts.get(shard)
+        return list(account.stopping.values()) if account is not None else []
+
     # -- placements -----------------------------------------------------------------------------
 
     def put(self, machine: Machine, placement: Placement) -> None:
@@ -120,6 +136,7 @@
         account = self.accounts.get(machine.record.shard)
         if account is not None:
             account.use(job, 1, machine.name not in account.unsure)
+            _note_room(account, machine)
         self.owner.backlog.stir(job)
 
     def state(self, placement: Placement, state: str) -> None:
@@ -134,6 +151,14 @@
         if state == w.EXITED:
             self._out(placement)
 
+    def stop(self, placement: Placement) -> None:
+        """A task is on its way out: what it holds will be free."""
+        account = self.accounts.get(placement.machine.record.shard)
+        if account is not None and placement.counted:
+            account.stopping[placement.task] = placement
+        if placement.job is not None:
+            self.owner.backlog.stir(placement.job)
+
     def drop(self, machine: Machine, placement: Placement) -> None:
         """A task is off a machine's list."""
         if machine.tasks.get(placement.task) is placement:
@@ -153,6 +178,9 @@
         account = self.accounts.get(machine.record.shard)
         if account is not None:
             account.use(job, -1, machine.name not in account.unsure)
+            if account.stopping.get(placement.task) is placement:
+                del account.stopping[placement.task]
+            _note_room(account, machine)
         self.owner.backlog.stir(job)
 
     # -- machines -------------------------------------------------------------------------------
@@ -164,7 +192,10 @@
         if shard is None or account is None:
             return
         name = machine.name
+        _note_room(account, machine)
         here = self.owner.by_shard.get(shard.name, {}).get(name) is machine
+        if not here:
+            account.free.pop(name, None)
         unsure = here and (name in shard.unknown or machine.murky)
         if not unsure and name not in account.unsure:
             return
@@ -189,6 +220,7 @@
         account = self.accounts.get(machine.record.shard)
         if account is not None:
             account.doubt(machine.name, None)
+            account.free.pop(machine.name, None)
 
     # -- shards ---------------------------------------------------------------------------------
 
@@ -244,6 +276,15 @@
         _add(account.claimed, job, count - before)
 
 
+def _note_room(account: Account, machine: Machine) -> None:
+    """A machine may have become full, or may no longer be."""
+    free = machine.free()
+    if free[0] > EPS and free[2] > EPS:
+        account.free[machine.name] = machine
+    else:
+        account.free.pop(machine.name, None)
+
+
 def _add(table: dict[str, list[int]], job: JobRun, count: int) -> None:
     """Count tasks of a job in (or out) for its team."""
     have = table.get(job.spec.team)
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -83,6 +83,8 @@
         self.base_price = 0.0
         # Rentals written down whose answers have not been.
         self.rentals: dict[str, Item] = {}
+        # Machines that are to be deleted.
+        self.leaving: dict[str, Machine] = {}
         self.held: dict[str, Shard] = {}
         self.counts: dict[str, int] = {}
         self.dirty = True
@@ -334,6 +336,7 @@
             if machine is not None:
                 # Its deletion was answered by the cloud: it is gone, and all that was on it.
                 del self.machines[name]
+                self.leaving.pop(name, None)
                 self.by_shard.get(machine.record.shard, {}).pop(name, None)
                 self.workers.gone[name] = self.now
                 machine.known = False
@@ -355,6 +358,11 @@
             machine.stamp = event.stamp
         self._set_kind(machine)
         self.by_shard.setdefault(record.shard, {})[name] = machine
+        if record.leaving:
+            self.leaving[name] = machine
+        else:
+            self.leaving.pop(name, None)
+        self.ledger.look(machine)
 
     def _set_kind(self, machine: Machine) -> None:
         machine.kind = kind = self.types.get(machine.record.type)
--- a/sagecove/coordination/peers.py
+++ b/sagecove/coordination/peers.py
@@ -26,6 +26,8 @@
         self.hungry: dict[str, tuple[str, int, float]] = {}
         self.cancelled_lately: list[str] = []
         self.hint_at = 0.0
+        # By shard, until when some of its machines are to run empty.
+        self.draining: dict[str, float] = {}
 
     def tell(self, now: float) -> None:
         if now < self.hint_at:
@@ -34,9 +36,8 @@
         hungry: dict[str, tuple[str, int]] = {}
         running: dict[str, int] = {}
         for job in self.owner.backlog.active.values():
-            count = sum(1 for p in job.placed.values() if p.state == "running")
-            if count:
-                running[job.id] = count
+            if job.running:
+                running[job.id] = job.running
             for shard in self.owner.held:
                 lacking = job.placeable(shard)
                 if self.owner.failures.suspect(job):
@@ -65,6 +66,7 @@
         for name in hint.drain:
             if (machine := self.owner.machines.get(name)) is not None:
                 machine.drain_until = self.owner.now + 4.0
+                self.draining[machine.record.shard] = machine.drain_until
 
     def _hinted(self, node: str, sent: float) -> Done:
         def done(status: int | None, body: bytes) -> None:
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -280,11 +280,7 @@
         # While the records of deleted machines wait for their removal, deleting them again would
         # queue that again, at every tick: on a bench day this filled the queue of transactions, and
         # no claim went through for a minute.
-        names = [
-            m.name
-            for m in owner.machines.values()
-            if m.record.leaving and m.name not in self.dropping
-        ]
+        names = [name for name in owner.leaving if name not in self.dropping]
         if not names or "delete" in self.busy:
             return
         names = sorted(names)[: c.DELETE_MOST]
--- a/sagecove/coordination/shards.py
+++ b/sagecove/coordination/shards.py
@@ -129,7 +129,7 @@
     def promised(self, shard: str) -> Room:
         """Room of a shard's machines that its claimed but unplaced tasks will take."""
         promised: Room = {}
-        machines = self.shard_machines(shard)
+        machines = self.owner.ledger.free(shard)
         for job in self.owner.backlog.open.values():
             bits = 0 if self.owner.failures.suspect(job) else job.placeable(shard)
             if bits and job.reserved:
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -81,7 +81,7 @@
     def _tell_live(self, kind: str, job: JobRun, exchange: Any) -> None:
         owner = self.owner
         done = (job.fin | job.fresh).bit_count()
-        running = sum(1 for p in job.placed.values() if p.state == "running")
+        running = job.running
         running += owner.peers.running_elsewhere(job.id)
         state = u.RUNNING if running else u.PENDING
         if kind == "status":
@@ -216,21 +216,19 @@
         if shard is None or node not in owner.shards.acting_shards(owner.now):
             return None
         machines = [
-            m
-            for m in owner.shards.shard_machines(node)
-            if not job.array or owner.now >= m.drain_until
+            m for m in owner.ledger.free(node) if not job.array or owner.now >= m.drain_until
         ]
         promised = owner.shards.promised(node)
         claims = owner.claims
         claims.futile = claims.futile_making = Futile()
         claims.roomy = None
-        claims.look_around([m for m in machines if m.open])
+        claims.look_around(node)
         count = claims.fitting(job, node, machines, promised)
         if count < job.spec.tasks and job.priority >= 2:
             # Users wait for these: room is made at once where it may be.
             able = owner.quota.claimable(node, job.spec, job.spec.tasks)
             if able > count:
-                count += claims.could_make(job, able - count, machines, promised)
+                count += claims.could_make(job, able - count, promised)
                 claims.make_at = 0.0
         if not count or (job.whole and count < job.spec.tasks):
             return None
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -57,6 +57,10 @@
         # Machines with orders that should not wait for the next report.
         self.urgent: dict[str, Machine] = {}
         self.gone: dict[str, float] = {}
+        # By shard, when a machine of it may first have to be seen to.
+        self.look_at: dict[str, float] = {}
+        # Machines with lost launches that may still arrive.
+        self.doubted: dict[str, Machine] = {}
 
     # -- reports --------------------------------------------------------------------------------
 
@@ -353,9 +357,8 @@
         for placement in list(machine.tasks.values()):
             self.drop(machine, placement)
         machine.used = [0.0, 0.0, 0.0]
-        if machine.strays:
-            machine.strays = {}
-            self.owner.ledger.look(machine)
+        machine.strays = {}
+        self.owner.ledger.look(machine)
 
     def tick(self, now: float) -> None:
         """Resolve machines whose lease has surely run out, and ask to delete the silent ones."""
@@ -364,7 +367,18 @@
             if now - at > 600:
                 del self.gone[name]
         for shard in list(owner.held.values()):
+            if now < self.look_at.get(shard.name, 0.0):
+                continue
             machines = owner.shards.shard_machines(shard.name)
+            # Until the first of them can be silent or over its lease there is nothing to see: what
+            # is heard meanwhile only makes that later.
+            soonest = now + min(self.silent, self.lease_over)
+            for machine in machines:
+                if machine.ever_heard and not machine.record.leaving:
+                    soonest = min(soonest, machine.heard_at + self.silent)
+                if machine.tasks or machine.strays or machine.name in shard.unknown:
+                    soonest = min(soonest, machine.answered_at + self.lease_over)
+            self.look_at[shard.name] = soonest
             # Reports that this process was not there to hear are no silence.
             heard_since = max(shard.since, owner.present_since)
             quiet = [m for m in machines if now - m.heard_at > self.silent and m.ever_heard]
@@ -392,10 +406,11 @@
                     and now - machine.elsewhere_at > self.silent
                 ):
                     self.leave(machine, "silent")
-        for machine in owner.machines.values():
-            if (
-                machine.condemned_at is not None
-                and now >= machine.condemned_at
+        for name, machine in list(owner.failures.condemned.items()):
+            if owner.machines.get(name) is not machine or machine.condemned_at is None:
+                del owner.failures.condemned[name]
+            elif (
+                now >= machine.condemned_at
                 and not machine.record.leaving
                 and machine.record.shard in owner.held
                 and machine.empty
@@ -505,6 +520,7 @@
                 if not sure:
                     # It may be executed late, until the worker has seen a higher token.
                     placement.doubt_token = max(placement.doubt_token, token)
+                    self.doubted[machine.name] = machine
             if status not in (200, 409) or owner.machines.get(machine.name) is not machine:
                 return
             report = decode(body, w.Report)
@@ -519,8 +535,13 @@
     def raise_tokens(self) -> None:
         """Where a lost direct launch stands in the way, make its token stale: write the record."""
         owner = self.owner
-        for machine in owner.machines.values():
-            if machine.committing or not machine.tasks:
+        for name, machine in list(self.doubted.items()):
+            if owner.machines.get(name) is not machine or not any(
+                p.doubt_token >= 0 for p in machine.tasks.values()
+            ):
+                del self.doubted[name]
+                continue
+            if machine.committing:
                 continue
             shard = owner.held.get(machine.record.shard)
             if shard is None or shard.yielding:
@@ -557,7 +578,6 @@
             )
         placement.halt = grace
         placement.for_whom = reason
-        if placement.job is not None:
-            self.owner.backlog.stir(placement.job)
+        self.owner.ledger.stop(placement)
         self.hurry(placement.machine)
         self.owner.dirty = True
