Repeated reports are not taken apart; hints fit a body; idle machines are kept only when wanted

Most reports repeat the last one's tasks to the letter: where nothing is due on a machine they are compared as bytes (settled). Hints come in parts: a holder of 6,000 machines sent more than a body may hold, and its peers took it for silent. Each end of a task is told in the log, and 'sagecove lab waste LOG' sums it up.

--- a/sagecove/cli.py
+++ b/sagecove/cli.py
@@ -96,6 +96,7 @@
     for noun, text in (
         ("sweep", "many jobs from one description (sagecove sweep --help)"),
         ("template", "job descriptions with parameters (sagecove template --help)"),
+        ("lab", "look into what happened (sagecove lab --help)"),
     ):
         commands.add_parser(noun, add_help=False, help=text)
     commands.add_parser(
--- a/sagecove/coordination/learning.py
+++ b/sagecove/coordination/learning.py
@@ -19,6 +19,8 @@
     def __init__(self, owner: Learned) -> None:
         self.owner = owner
         self.arrivals: dict[str, deque[float]] = {}
+        # When services came.
+        self.services: deque[float] = deque(maxlen=8)
         self.class_dues: dict[str, list[tuple[bool, float]]] = {}
         self.class_run: dict[str, float] = {}
         # Seconds that machines of a type took lately from their rental to their first report.
@@ -28,6 +30,8 @@
         """Remember when jobs came whose task takes most of a machine."""
         if job.array:
             return
+        if job.service:
+            self.services.append(self.owner.now)
         fitting = [t for t in self.owner.types.values() if type_allowed(job.spec, t)]
         if not fitting:
             return
@@ -35,6 +39,14 @@
         if fills_most(job.spec, kind):
             self.arrivals.setdefault(kind.name, deque(maxlen=8)).append(self.owner.now)
 
+    def services_expected(self, patience: float) -> bool:
+        """Services come often enough for one to be on its way: the last is not longer ago than a
+        few gaps between them, or than some patience (seconds)."""
+        if not self.services:
+            return False
+        gap = (self.owner.now - self.services[0]) / len(self.services)
+        return self.owner.now - self.services[-1] < min(2.5 * gap, patience)
+
     def learned(self, placement: Placement) -> None:
         """A task completed: owners' estimates are wrong, so learn by how much, per class."""
         job = placement.job
--- a/sagecove/coordination/ledger.py
+++ b/sagecove/coordination/ledger.py
@@ -129,6 +129,7 @@
         """A task is, or may be, on a machine from now on."""
         job = placement.job
         assert job is not None
+        machine.settled = False
         machine.tasks[placement.task] = placement
         machine.take(job.spec, 1)
         placement.counted = True
@@ -146,6 +147,7 @@
         if placement.state == w.TASK_RUNNING:
             job.running -= placement.counted
         placement.state = state
+        placement.machine.settled = False
         if state == w.TASK_RUNNING:
             job.running += placement.counted
         if state == w.EXITED:
@@ -153,6 +155,7 @@
 
     def stop(self, placement: Placement) -> None:
         """A task is on its way out: what it holds will be free."""
+        placement.machine.settled = False
         account = self.accounts.get(placement.machine.record.shard)
         if account is not None and placement.counted:
             account.stopping[placement.task] = placement
@@ -161,6 +164,7 @@
 
     def drop(self, machine: Machine, placement: Placement) -> None:
         """A task is off a machine's list."""
+        machine.settled = False
         if machine.tasks.get(placement.task) is placement:
             del machine.tasks[placement.task]
         self._out(placement)
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -282,6 +282,9 @@
         self.tasks: dict[str, Placement] = {}
         # Tasks reported that are none of this shard's: to be stopped and removed.
         self.strays: dict[tuple[str, int], str] = {}
+        # Tasks as last told, and whether there is nothing to be done here but to hear the same.
+        self.told = b""
+        self.settled = False
         self.used = [0.0, 0.0, 0.0]
         self.calling = 0
 
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -14,6 +14,7 @@
 from sagecove.coordination.backlog import Backlog
 from sagecove.coordination.claims import Claims
 from sagecove.coordination.effects import Answered, Call, Command, Effect
+from sagecove.coordination.ends import Ends
 from sagecove.coordination.failures import Failures
 from sagecove.coordination.leadership import Leadership
 from sagecove.coordination.learning import Learning
@@ -100,6 +101,7 @@
         self.requests = Requests(self)
         self.backlog = Backlog(self)
         self.ledger = Ledger(self)
+        self.ends = Ends(self)
         self.quota = Quota(self)
         self.leadership = Leadership(self)
         self.failures = Failures(self)
@@ -120,6 +122,7 @@
             log.info("stood still seconds=%.1f", now - self.now)
             self.present_since = now
             self.peers.hints.clear()
+            self.peers.told.clear()
             self.peers.hungry.clear()
             self.leadership.promises.clear()
         self.now = now
@@ -178,6 +181,7 @@
         self.upkeep.return_idle(now)
         self.peers.tell(now)
         self.upkeep.tell_waits(now)
+        self.ends.tick(now)
         if self.mirror.loaded and now - self.sync.synced_at > self.leadership.length / 8:
             self.sync.want_sync()
         for feature in self.features:
@@ -340,7 +344,7 @@
                 self.by_shard.get(machine.record.shard, {}).pop(name, None)
                 self.workers.gone[name] = self.now
                 machine.known = False
-                self.workers.forget_tasks(machine)
+                self.workers.forget_tasks(machine, "gone")
                 self.shards.machine_resolved(machine)
                 self.ledger.look(machine)
             return
--- a/sagecove/coordination/peers.py
+++ b/sagecove/coordination/peers.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections import deque
+from collections.abc import Iterator, Sequence
+from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 
@@ -16,6 +18,20 @@
     from sagecove.coordination.owner import Owner
 
 
+# Names that one hint carries of machines and of running jobs, and of all else: within a body of
+# 64 KiB. And the most parts that are kept of what a peer says.
+PART_MOST = 1000
+FEW = 200
+PARTS_MOST = 20
+
+
+class Teller(NamedTuple):
+    """What a shard's holder has said of its machines: names it has heard, and if that is all."""
+
+    heard: Sequence[set[str]]
+    all: bool
+
+
 class Peers:
     """What peers say, and what is said to them."""
 
@@ -26,6 +42,9 @@
         self.hungry: dict[str, tuple[str, int, float]] = {}
         self.cancelled_lately: list[str] = []
         self.hint_at = 0.0
+        # By node: its last hints, as many as it tells parts in, which are all it has said last.
+        self.told: dict[str, deque[Hint]] = {}
+        self.part = 0
         # By shard, until when some of its machines are to run empty.
         self.draining: dict[str, float] = {}
 
@@ -46,16 +65,22 @@
                 if lacking and now - job.stuck_at.get(shard, now) > 0.4:
                     hungry[job.id] = (shard, lacking.bit_count())
                     self.hungry[job.id] = (shard, lacking.bit_count(), now)
+        known = [m.name for m in self.owner.machines.values() if m.known]
+        # Of a controller that holds the shards of all, thousands of machines: its hints were longer
+        # than a body may be, so that its peers took it for silent.
+        parts = max(1, -(-max(len(known), len(running)) // PART_MOST))
+        self.part = (self.part + 1) % parts
         hint = Hint(
             self.owner.settings.node,
             self.owner.now - self.owner.sync.synced_at < 2.0,
-            running,
-            hungry,
-            [m.name for m in self.owner.machines.values() if m.known],
-            self.owner.workers.strangers(now),
-            self.owner.provision.draining,
+            dict(list(running.items())[self.part :: parts]),
+            dict(list(hungry.items())[:FEW]),
+            set(known[self.part :: parts]),
+            parts,
+            self.owner.workers.strangers(now)[:FEW],
+            self.owner.provision.draining[:FEW],
             self.cancelled_lately,
-            [job.id for job in self.owner.backlog.active.values() if job.blamed],
+            [job.id for job in self.owner.backlog.active.values() if job.blamed][:FEW],
         )
         self.drain(hint)
         self.cancelled_lately = []
@@ -95,6 +120,11 @@
             return
         if hint.node in self.owner.settings.nodes:
             self.hints[hint.node] = (self.owner.now, hint)
+            parts = min(max(1, hint.parts), PARTS_MOST)
+            told = self.told.get(hint.node)
+            if told is None or told.maxlen != parts:
+                told = self.told[hint.node] = deque(told or (), maxlen=parts)
+            told.append(hint)
             for job_id, (shard, count) in hint.hungry.items():
                 self.hungry[job_id] = (shard, count, self.owner.now)
             self.drain(hint)
@@ -112,20 +142,53 @@
         """Running tasks of a job on other controllers' machines, for display."""
         return sum(
             hint.running.get(job_id, 0)
-            for at, hint in self.hints.values()
+            for node, (at, _) in self.hints.items()
             if self.owner.now - at < 5.0
+            for hint in self.told[node]
         )
 
+    def heard(self, node: str, machine: str) -> bool:
+        """A controller has said lately that a machine reports to it."""
+        return any(machine in hint.heard for hint in self.told.get(node, ()))
+
+    def said_all(self, node: str) -> bool:
+        """All parts of what a controller says have come: what it has not named it has not heard."""
+        told = self.told.get(node)
+        return told is not None and len(told) == told.maxlen
+
     def arrival(self, machine: Machine) -> str:
         """Whether a machine is `up`, `coming` or `overdue`, as far as this controller can tell."""
-        if machine.known:
-            return "up"
-        holder = self.owner.shards.holder_of(machine.record.shard)
+        return self._arrival(machine, self.teller(machine.record.shard))
+
+    def arrivals(self) -> Iterator[tuple[Machine, str]]:
+        """All machines, and what `arrival` says of them."""
+        tellers: dict[str, Teller] = {}
+        for machine in self.owner.machines.values():
+            if machine.known:
+                yield machine, "up"
+                continue
+            shard = machine.record.shard
+            teller = tellers.get(shard)
+            if teller is None:
+                teller = tellers[shard] = self.teller(shard)
+            yield machine, self._arrival(machine, teller)
+
+    def teller(self, shard: str) -> Teller:
+        """Who knows which machines of a shard are up."""
+        holder = self.owner.shards.holder_of(shard)
         hint = self.hints.get(holder or "")
-        told = hint is not None and self.owner.now - hint[0] < 5.0
-        if told and hint is not None and machine.name in hint[1].heard:
+        if holder is None or hint is None or self.owner.now - hint[0] >= 5.0:
+            return Teller((), holder == self.owner.settings.node)
+        told = [one.heard for one in self.told.get(holder, ())]
+        return Teller(told, self.said_all(holder) or holder == self.owner.settings.node)
+
+    def _arrival(self, machine: Machine, teller: Teller) -> str:
+        if machine.known:
             return "up"
+        for names in teller.heard:
+            if machine.name in names:
+                return "up"
         boot = machine.kind.boot_s if machine.kind else 30.0
         if self.owner.wall() - machine.record.at < 2 * boot:
             return "coming"
-        return "overdue" if told or holder == self.owner.settings.node else "up"
+        return "overdue" if teller.all else "up"
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -47,6 +47,9 @@
 
 Done = Callable[[int | None, bytes], None]
 
+# Machines of a list that are taken in: far beyond any fleet, against a list without end.
+LISTED_MOST = 50_000
+
 # Arrays are not rented for at more than this many times their cheapest price.
 DEAR = 20.0
 
@@ -221,7 +224,7 @@
         if page is None:
             return
         self.listing += page.machines
-        if page.more and page.machines and len(self.listing) < 5000:
+        if page.more and page.machines and len(self.listing) < LISTED_MOST:
             self._page(page.machines[-1].name)
             return
         sizes = self._shard_sizes()
@@ -402,9 +405,14 @@
             jobs += owner.backlog.sorted(members)
         jobs.sort(key=precedence)
         coming = Fleet(min((j.spec.cpus for j in jobs), default=0.0))
-        for m in owner.machines.values():
-            if m.kind is not None and not m.record.leaving and owner.peers.arrival(m) == "coming":
-                coming.add(Coming.of(m))
+        usable: list[Machine] = []
+        for machine, arrival in owner.peers.arrivals():
+            if machine.kind is None or machine.record.leaving:
+                continue
+            if arrival == "coming":
+                coming.add(Coming.of(machine))
+            if arrival != "overdue" and not machine.sick:
+                usable.append(machine)
         wanted: dict[tuple[str, str, bool, str], int] = {}
         homes = self._gang_homes(jobs, coming)
         for job in jobs:
@@ -412,7 +420,15 @@
                 for shard, count in self._lacking(job, now):
                     home = shard or homes.get(job.id)
                     self._fill(job, count, home, coming, wanted, now)
-        self._fill_arrays([j for j in jobs if j.array], coming, wanted, now)
+        self._fill_arrays([j for j in jobs if j.array], usable, coming, wanted, now)
+        for job in owner.backlog.active.values():
+            # Nothing more is rented for what fails everywhere, but its next try needs a machine.
+            if (
+                owner.failures.suspect(job)
+                and now >= job.hold_until
+                and not any(machine_allowed(job.spec, m) for m in usable)
+            ):
+                self._fill(job, 1, None, coming, wanted, now)
         for (name, zone, spot, shard), count in wanted.items():
             self.rent(name, zone, spot, min(count, c.RENT_MOST), shard)
 
@@ -504,6 +520,7 @@
     def _fill_arrays(
         self,
         jobs: list[JobRun],
+        usable: list[Machine],
         coming: Fleet,
         wanted: dict[tuple[str, str, bool, str], int],
         now: float,
@@ -512,17 +529,7 @@
         come, would not be through with all that is ahead of a job by the time it is due."""
         owner = self.owner
         # CPUs that arrays may have, by the work's shape: what others claim is taken off.
-        have = 0.0
-        usable: list[Machine] = []
-        for machine in owner.machines.values():
-            if (
-                machine.kind is not None
-                and not machine.record.leaving
-                and not machine.sick
-                and owner.peers.arrival(machine) != "overdue"
-            ):
-                have += machine.kind.cpus
-                usable.append(machine)
+        have = sum(machine.kind.cpus for machine in usable if machine.kind is not None)
         for other in owner.backlog.active.values():
             if not other.array and not owner.failures.suspect(other):
                 claimed = (other.unfinished & ~other.unclaimed).bit_count()
@@ -574,19 +581,24 @@
 
         Cheapest types stay, since they are the ones to be rented next.
         """
-        out = []
-        # Prices of a CPU.
-        prices = [
-            (price_of(m.kind, m.record.spot) / max(m.kind.cpus, 0.1), m.name, m)
+        out: list[str] = []
+        # Prices of a CPU, by type and kind: of thousands of machines most are of the cheapest.
+        prices: dict[tuple[str, bool], float] = {}
+        for m in machines:
+            key = m.record.type, m.record.spot
+            if m.kind is not None and key not in prices:
+                prices[key] = price_of(m.kind, m.record.spot) / max(m.kind.cpus, 0.1)
+        if not prices or surplus <= 0:
+            return []
+        floor = 1.5 * min(prices.values())
+        dear = [
+            (prices[m.record.type, m.record.spot], m.name, m)
             for m in machines
-            if m.kind is not None
+            if m.kind is not None and prices[m.record.type, m.record.spot] >= floor
         ]
-        if not prices:
-            return []
-        cheapest = min(price for price, _, _ in prices)
-        for price, name, machine in sorted(prices, reverse=True, key=lambda p: p[:2]):
+        for _, name, machine in sorted(dear, reverse=True, key=lambda p: p[:2]):
             assert machine.kind is not None
-            if price < 1.5 * cheapest or surplus <= 0:
+            if surplus <= 0:
                 break
             kind = machine.kind
             cheaper = bool(kind.spot_price) and not machine.record.spot
--- a/sagecove/coordination/upkeep.py
+++ b/sagecove/coordination/upkeep.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sagecove.coordination.model import Machine
+from sagecove.coordination.placement import machine_allowed, slots
 from sagecove.coordination.ports import TICK_S
 from sagecove.protocol.cloud import MachineType
 
@@ -47,7 +48,12 @@
                 kind = group[0].kind
                 assert kind is not None
                 patience = self._patience(kind)
-                keep = self._keep(kind, machines) if not group[0].record.spot else 0
+                # Kept whether services came or not, a machine of each shard stayed for good.
+                warm = not group[0].record.spot and self.owner.learning.services_expected(
+                    1.5 * patience
+                )
+                keep = self._keep(kind, machines) if warm else 0
+                keep = max(keep, self._for_tries(group[0]))
                 for machine in group[keep:]:
                     age = self.owner.wall() - machine.record.at
                     # A machine that is deleted costs 60 s at least: it may as well wait as long.
@@ -55,6 +61,18 @@
                     if (drained or now - machine.idle_since > patience) and age > 55.0:
                         self.owner.workers.leave(machine, "idle")
 
+    def _for_tries(self, machine: Machine) -> int:
+        """Machines like this one that the next try of a job takes which fails everywhere: none are
+        rented for it, so that without one it would never be tried again."""
+        kind = machine.kind
+        assert kind is not None
+        most = 0
+        for job in self.owner.backlog.open.values():
+            if job.blamed and not job.placed and machine_allowed(job.spec, machine):
+                fit = max(1, slots(job.spec, (kind.cpus, kind.gpus, kind.memory_gb)))
+                most = max(most, -(-job.spec.tasks // fit) if job.whole else 1)
+        return most
+
     def _patience(self, kind: MachineType) -> float:
         """How long a machine may idle: longer where jobs come that need one of its own, since
         those would have to wait for a boot."""
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -67,13 +67,16 @@
     def report(self, body: bytes, exchange: object, relayed: bool = False) -> None:
         """A worker reports, directly or by way of another controller."""
         owner = self.owner
+        hands: list[w.Hand] | None = None
         try:
             report = w.read_report(body)
+            machine = owner.machines.get(report.machine)
+            if machine is None or not machine.settled or machine.told != bytes(report.tasks):
+                hands = w.read_hands(report.tasks)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             owner.effects.append(Reply(exchange, 400, Refusal(str(error)[:200])))
             return
         now = owner.now
-        machine = owner.machines.get(report.machine)
         if machine is None:
             if not self._adopt(report, body, exchange):
                 owner.effects.append(Reply(exchange, 503, Refusal("machine unknown as yet")))
@@ -91,14 +94,17 @@
             return
         token = max(shard.term, machine.stamp)
         if self._newer(machine, report.session, report.seq):
-            self.read(machine, report, token, hello=True)
+            self.read(machine, report, hands, token, hello=True)
         elif report.session != machine.session or report.session <= machine.over_session:
             owner.effects.append(Reply(exchange, 503, Refusal("report is out of date")))
             return
         # Otherwise a direct command's answer has overtaken it: the list is old, but the worker
         # waits for this answer.
         machine.answered_at = now
-        orders = self.orders(machine, report.seq) if machine.known else []
+        orders: list[w.Order] = []
+        if machine.known and not machine.settled:
+            orders = self.orders(machine, report.seq)
+            machine.settled = not orders and self._nothing_due(machine)
         owner.effects.append(Reply(exchange, 200, w.Answer(token, orders)))
         self.urgent.pop(machine.name, None)
 
@@ -113,7 +119,7 @@
         back = 0.7 < now - machine.redirected_at < self.pace.lease_s
         # One whose lease outlives its silence is alive, and merely cut off from its peers.
         silent = hint is not None and HINT_FRESH_S <= now - hint[0] < owner.leadership.length + 1.0
-        if silent and hint is not None and (back or machine.name in hint[1].heard):
+        if silent and hint is not None and (back or owner.peers.heard(holder, machine.name)):
             # The holder is silent and the worker has come from there: until the shard is taken,
             # going back would cost it a timeout, and with a second one its lease and its tasks.
             self._park(machine, exchange)
@@ -195,11 +201,33 @@
         owner.put_machine(name, record, 0, shard, done)
         return True
 
-    def read(self, machine: Machine, report: w.Report, token: int, hello: bool) -> None:
-        """Take in a report's task list. The report is newer than all seen of this machine."""
+    @staticmethod
+    def _nothing_due(machine: Machine) -> bool:
+        """Until a task, an order or the report changes, hearing the same report changes nothing."""
+        return (
+            machine.known
+            and not machine.strays
+            and not machine.notice
+            and all(
+                p.state in (w.PULLING, w.TASK_RUNNING) and p.halt is None and p.doubt_token < 0
+                for p in machine.tasks.values()
+            )
+        )
+
+    def read(
+        self,
+        machine: Machine,
+        report: w.Report,
+        hands: list[w.Hand] | None,
+        token: int,
+        hello: bool,
+    ) -> None:
+        """Take in a report's task list (None: the same as last time, on a settled machine). The
+        report is newer than all seen of this machine."""
         owner = self.owner
         now = owner.now
         if report.session > machine.session:
+            machine.settled = False
             if machine.session:
                 log.info(
                     "session over machine=%s session=%d by=%s",
@@ -221,14 +249,22 @@
         machine.ever_heard = True
         if report.notice_s is not None and not machine.notice:
             log.info("spot notice machine=%s", machine.name)
+            machine.settled = False
             machine.notice = True
         if report.token < token:
+            machine.settled = False
+            return
+        if hands is None and machine.settled:
             return
+        if hands is None:
+            hands = w.read_hands(report.tasks)
+        machine.settled = False
+        machine.told = bytes(report.tasks)
         first = not machine.known
         machine.known = True
         seen: set[str] = set()
         strays: dict[tuple[str, int], str] = {}
-        for hand in report.tasks:
+        for hand in hands:
             placement = machine.tasks.get(hand.task)
             if placement is None or placement.attempt != hand.attempt:
                 adopted = self._recognize(machine, hand) if placement is None else None
@@ -308,6 +344,7 @@
         if hand.state != w.EXITED:
             return
         placement.why = hand.why
+        owner.ends.ended(placement, hand.why, hand.saved)
         if hand.why == w.WHY_DONE:
             owner.learning.learned(placement)
             owner.failures.completed(machine, job)
@@ -317,14 +354,6 @@
             else:
                 job.fresh |= (1 << placement.index) & ~job.fin
         else:
-            if hand.why != w.WHY_STOPPED:
-                log.info(
-                    "task ended task=%s attempt=%d machine=%s why=%s",
-                    hand.task,
-                    hand.attempt,
-                    machine.name,
-                    hand.why,
-                )
             if hand.why == w.WHY_ERROR:
                 owner.failures.failed(placement)
             elif hand.why in (w.WHY_FULL, w.WHY_BUSY, w.WHY_UNKNOWN):
@@ -342,21 +371,24 @@
 
     # -- gone -----------------------------------------------------------------------------------
 
-    def drop(self, machine: Machine, placement: Placement) -> None:
+    def drop(self, machine: Machine, placement: Placement, why: str = "missing") -> None:
         """A task is provably gone from its machine."""
         job = placement.job
         if placement.live and job is not None and job.gang and placement.state != SENT:
             job.failing = True
+        if placement.live:
+            self.owner.ends.ended(placement, why)
         self.owner.ledger.drop(machine, placement)
         if not machine.tasks:
             machine.idle_since = self.owner.now
         self.owner.dirty = True
 
-    def forget_tasks(self, machine: Machine) -> None:
+    def forget_tasks(self, machine: Machine, why: str = "lease") -> None:
         """All tasks of a session are gone."""
         for placement in list(machine.tasks.values()):
-            self.drop(machine, placement)
+            self.drop(machine, placement, why)
         machine.used = [0.0, 0.0, 0.0]
+        machine.settled = False
         machine.strays = {}
         self.owner.ledger.look(machine)
 
@@ -514,6 +546,7 @@
         def done(status: int | None, body: bytes) -> None:
             owner = self.owner
             machine.calling -= 1
+            machine.settled = False
             sure = status in (200, 409, 400, 0)
             for placement in carried:
                 placement.open_calls -= 1
@@ -527,8 +560,12 @@
             shard = owner.held.get(machine.record.shard)
             if report is None or shard is None or report.machine != machine.name:
                 return
+            try:
+                hands = w.read_hands(report.tasks)
+            except (msgspec.MsgspecError, UnicodeDecodeError):
+                return
             if self._newer(machine, report.session, report.seq):
-                self.read(machine, report, max(shard.term, machine.stamp), hello=False)
+                self.read(machine, report, hands, max(shard.term, machine.stamp), hello=False)
 
         return done
 
--- a/sagecove/nouns.py
+++ b/sagecove/nouns.py
@@ -1,3 +1,7 @@
 """Nouns of the command line that features bring, and the modules that have their verbs."""
 
-NOUNS = {"sweep": "sagecove.sweeps.commands", "template": "sagecove.sweeps.commands"}
+NOUNS = {
+    "sweep": "sagecove.sweeps.commands",
+    "template": "sagecove.sweeps.commands",
+    "lab": "sagecove.lab.commands",
+}
--- a/sagecove/protocol/peers.py
+++ b/sagecove/protocol/peers.py
@@ -14,7 +14,10 @@
     # Jobs claimed here that lack room: job id to (shard, tasks).
     hungry: dict[str, tuple[str, int]] = {}
     # Machines that have reported here.
-    heard: list[str] = []
+    heard: set[str] = set()
+    # Of `running` and `heard` this is one of so many parts, which follow one another: a hint must
+    # stay within a body.
+    parts: int = 1
     # Machines of others' shards that reported here lately: alive, but cut off from their holder.
     strangers: list[str] = []
     # From the provisioner: machines the arrays could do without.
--- a/sagecove/protocol/workers.py
+++ b/sagecove/protocol/workers.py
@@ -67,7 +67,8 @@
     session: Count
     seq: Count
     token: Count
-    tasks: list[Hand] = []
+    # Left as it came: most reports repeat the last one's tasks to the letter.
+    tasks: msgspec.Raw = msgspec.Raw(b"[]")
     notice_s: float | None = None
 
 
@@ -105,4 +106,5 @@
     report_to: str | None = None
 
 
+read_hands = msgspec.json.Decoder(list[Hand]).decode
 read_report = msgspec.json.Decoder(Report).decode
