Tasks that end by the time their room is needed are waited for, not stopped for arrays

An array may wait for others as long as one run of its own, unless that costs it an aim it can still meet; what ends in that time is not stopped and counts as room to come, and a task stopped before is spared the longer.

--- a/sagecove/coordination/claims.py
+++ b/sagecove/coordination/claims.py
@@ -19,7 +19,6 @@
     Placement,
     Shard,
     precedence,
-    standing,
 )
 from sagecove.coordination.placement import (
     Futile,
@@ -34,6 +33,7 @@
     suits,
     zone_counts,
 )
+from sagecove.coordination.stopping import largest_victim, may_stop, need
 from sagecove.protocol import state as wire
 from sagecove.protocol.users import DONE
 from sagecove.storage import taskset
@@ -49,21 +49,6 @@
 BATCH = 4
 
 
-def may_stop(job: JobRun, victim: JobRun) -> bool:
-    """PROTOCOL's preemption rules; and only for a job that comes first in our own order, since
-    otherwise the victim would take the room straight back."""
-    allowed = victim.priority < job.priority or (
-        job.within and not victim.within and victim.spec.team != job.spec.team
-    )
-    # Never more than the need: no large task is stopped for a small one.
-    return allowed and victim.spec.cpus <= _largest_victim(job) and standing(job) < standing(victim)
-
-
-def _largest_victim(job: JobRun) -> float:
-    """CPUs of the largest task that may be stopped for one of this job."""
-    return 8 * max(job.spec.cpus, 0.5)
-
-
 class Claims:
     """Claims and placement for the shards held here."""
 
@@ -95,6 +80,8 @@
         # The shard at hand.
         self.around = ""
         self.yielding: dict[tuple[object, ...], dict[str, list[float]]] = {}
+        # By the same keys: CPUs of tasks that are waited for instead, see `Stopping`.
+        self.ending: dict[tuple[object, ...], float] = {}
         self.retries: list[tuple[JobRun, Shard, dict[str, int], int]] = []
 
     def run(self, now: float) -> None:
@@ -414,33 +401,51 @@
         self.sizes = sorted(sizes)
         self.around = shard
         self.yielding.clear()
+        self.ending.clear()
 
     def _stoppable(self, job: JobRun) -> bool:
         """There is anything that the job may displace."""
         return any(may_stop(job, other) for other in self.running)
 
+    def _rights(self, job: JobRun) -> tuple[object, ...]:
+        return (
+            *self.owner.stopping.rank(job),
+            bisect_right(self.sizes, largest_victim(job)),
+        )
+
+    def _coming(self, job: JobRun) -> int:
+        """Tasks of an array that find room as others end by themselves, soon enough for it."""
+        if not job.array:
+            return 0
+        self._yielding(job)
+        return int(self.ending[self._rights(job)] / max(job.spec.cpus, 0.1))
+
     def _yielding(self, job: JobRun) -> dict[str, list[float]]:
         """Room on machines that is held by what is on its way out or may be stopped for a job.
         Many jobs have the same rights, so it is found once a pass for all of them."""
-        key = (
-            *_stopping_rank(job),
-            bisect_right(self.sizes, _largest_victim(job)),
-        )
+        key = self._rights(job)
         found = self.yielding.get(key)
         if found is None:
             found = self.yielding[key] = {}
+            stopping = self.owner.stopping
+            patience = stopping.patience(job)
             going = self.owner.ledger.stopping(self.around)
+            ending = 0.0
             for other in self.owner.ledger.running(self.around):
-                if may_stop(job, other):
-                    going += [
-                        p
-                        for p in other.placed.values()
-                        if p.halt is None and p.live and p.machine.record.shard == self.around
-                    ]
+                if not may_stop(job, other):
+                    continue
+                for p in other.placed.values():
+                    if p.halt is not None or p.machine.record.shard != self.around:
+                        continue
+                    if stopping.worth(patience, other, p):
+                        going.append(p)
+                    elif stopping.ends_soon(patience, other, p):
+                        ending += other.spec.cpus
+            self.ending[key] = ending
             for p in going:
                 if p.job is not None:
                     room = found.setdefault(p.machine.name, [0.0, 0.0, 0.0])
-                    for n, amount in enumerate(_need(p.job)):
+                    for n, amount in enumerate(need(p.job)):
                         room[n] += amount
         return found
 
@@ -601,9 +606,14 @@
         """Stop tasks that this job may displace; how many of its tasks will then fit."""
         making = 0
         spec = job.spec
-        rank = _stopping_rank(job)
+        rank = self.owner.stopping.rank(job)
         if self.futile_making.known(job, rank) or not self._stoppable(job):
             return 0
+        # What ends by itself is not stopped as well.
+        count -= self._coming(job)
+        if count <= 0:
+            return 0
+        patience = self.owner.stopping.patience(job)
         candidates: list[tuple[bool, float, Machine, list[Placement]]] = []
         counts = zone_counts(job)
         for machine in self._candidates(job, machines):
@@ -621,11 +631,11 @@
                     continue
                 if p.halt is not None:
                     leaving.append(p)
-                elif may_stop(job, p.job):
+                elif may_stop(job, p.job) and self.owner.stopping.worth(patience, p.job, p):
                     victims.append(p)
             for p in leaving:
                 assert p.job is not None
-                room = [r + n for r, n in zip(room, _need(p.job), strict=True)]
+                room = [r + n for r, n in zip(room, need(p.job), strict=True)]
             victims.sort(key=lambda p: (p.job.priority if p.job else 0, -p.started_at))
             chosen: list[Placement] = []
             loss = 0.0
@@ -634,7 +644,7 @@
                 assert p.job is not None
                 chosen.append(p)
                 loss += (now - p.started_at) * p.job.spec.cpus
-                room = [r + n for r, n in zip(room, _need(p.job), strict=True)]
+                room = [r + n for r, n in zip(room, need(p.job), strict=True)]
             if slots(spec, (room[0], room[1], room[2])) >= 1:
                 fetch = job.priority == 3 and spec.image not in machine.images
                 candidates.append((fetch, loss, machine, chosen))
@@ -652,6 +662,7 @@
             job.reserved_until = now + 2 * self.owner.settings.params.workers.report_s + 10.0
             for p in chosen:
                 assert p.job is not None
+                self.owner.stopping.stopped(p)
                 self.owner.workers.halt(p, p.job.grace_s, job.id)
         return making
 
@@ -797,10 +808,13 @@
         """How many tasks would fit if others were stopped for them (nothing is stopped yet)."""
         making = 0
         spec = job.spec
-        rank = _stopping_rank(job)
+        rank = self.owner.stopping.rank(job)
         if self.futile_making.known(job, rank) or not self._stoppable(job):
             return 0
         zones: set[str] = set()
+        count -= self._coming(job)
+        if count <= 0:
+            return 0
         yielding = self._yielding(job)
         free = self.owner.ledger.free(self.around) if job.whole else []
         for machine in self._candidates(job, free):
@@ -892,12 +906,3 @@
         if free[0] >= cpus and free[2] >= memory:
             out.append(machine)
     return out
-
-
-def _stopping_rank(job: JobRun) -> tuple[int, bool, str]:
-    """Jobs that may stop the same tasks."""
-    return job.priority, job.within, job.spec.team if job.within else ""
-
-
-def _need(job: JobRun) -> tuple[float, float, float]:
-    return job.spec.cpus, job.spec.gpus, job.spec.memory_gb
--- a/sagecove/coordination/ends.py
+++ b/sagecove/coordination/ends.py
@@ -38,9 +38,13 @@
             count, spent = self.done.get(job.spec.klass, (0, 0.0))
             self.done[job.spec.klass] = count + 1, spent + ran * job.spec.cpus
             return
+        # What is lost with it: nothing of a replica, nor up to the last checkpoint.
+        lost = 0.0 if saved or job.service else ran
+        if job.spec.checkpoint_s > 0:
+            lost %= job.spec.checkpoint_s
         log.info(
-            "task ended task=%s attempt=%d machine=%s class=%s why=%s for=%s ran=%.1f cpus=%g"
-            " saved=%d",
+            "task ended task=%s attempt=%d machine=%s class=%s why=%s for=%s ran=%.1f"
+            " lost_cpu_s=%.1f",
             placement.task,
             placement.attempt,
             placement.machine.name,
@@ -48,8 +52,7 @@
             why,
             placement.for_whom.replace(" ", "-") or "-",
             ran,
-            job.spec.cpus,
-            saved,
+            lost * job.spec.cpus,
         )
 
     def tick(self, now: float) -> None:
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -61,6 +61,7 @@
         "service",
         "spec",
         "stamp",
+        "stops",
         "stuck_at",
         "trim_after",
         "unclaimed",
@@ -128,6 +129,8 @@
         self.failing = False
         # Who writes its state, if it has no record of its own.
         self.home: Home | None = None
+        # By task: how often it was stopped for others, see `Stopping`.
+        self.stops: dict[int, int] | None = None
         # Where it rests, see `Backlog`.
         self.alike: tuple[object, ...] | None = None
         self.update(record, stamp)
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -29,6 +29,7 @@
 from sagecove.coordination.quota import Quota
 from sagecove.coordination.requests import Requests
 from sagecove.coordination.shards import Shards
+from sagecove.coordination.stopping import Stopping
 from sagecove.coordination.sync import Sync
 from sagecove.coordination.upkeep import Upkeep
 from sagecove.coordination.users import Users
@@ -107,6 +108,7 @@
         self.failures = Failures(self)
         self.workers = Workers(self)
         self.claims = Claims(self)
+        self.stopping = Stopping(self)
         self.users = Users(self)
         self.provision = Provision(self)
         self.features = features(self) if features is not None else []
--- /dev/null
+++ b/sagecove/coordination/stopping.py
@@ -0,0 +1,125 @@
+"""Which tasks may be stopped for a job, and which are worth it.
+
+What may be is PROTOCOL's and our own order. What is worth it: a task of an array that will have
+ended by the time its room is needed is waited for, and one that was stopped before is spared the
+longer the more often that was. Services and gangs wait for nobody. docs/design-preemption.md.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from sagecove.coordination.model import JobRun, Placement, standing
+from sagecove.coordination.ports import Clock, Poll
+
+# A task that has run for so many times what was expected will run on for half as long again as it
+# has: nothing better is known of it.
+OUTRUN = 1.5
+
+
+class Expecting(Protocol):
+    """Learned run times."""
+
+    def expected(self, job: JobRun) -> float:
+        """Expected run time of a task, its image included (seconds)."""
+
+    def dues(self, job: JobRun) -> list[float]:
+        """The ages by which a job is expected to be through (seconds)."""
+
+
+class Weighing(Clock, Protocol):
+    """What weighing stops asks of its surroundings."""
+
+    @property
+    def learning(self) -> Expecting:
+        """Learned run times."""
+
+    @property
+    def claims(self) -> Poll:
+        """The pace of claims."""
+
+
+def may_stop(job: JobRun, victim: JobRun) -> bool:
+    """PROTOCOL's preemption rules; and only for a job that comes first in our own order, since
+    otherwise the victim would take the room straight back."""
+    allowed = victim.priority < job.priority or (
+        job.within and not victim.within and victim.spec.team != job.spec.team
+    )
+    # Never more than the need: no large task is stopped for a small one.
+    return allowed and victim.spec.cpus <= largest_victim(job) and standing(job) < standing(victim)
+
+
+def largest_victim(job: JobRun) -> float:
+    """CPUs of the largest task that may be stopped for one of this job."""
+    return 8 * max(job.spec.cpus, 0.5)
+
+
+def need(job: JobRun) -> tuple[float, float, float]:
+    """CPUs, GPUs and memory of a task."""
+    return job.spec.cpus, job.spec.gpus, job.spec.memory_gb
+
+
+class Stopping:
+    """Weighs stops against waiting."""
+
+    def __init__(self, owner: Weighing) -> None:
+        self.owner = owner
+        aims = owner.settings.params.objectives
+        # By when work within a guarantee should have started.
+        self.guarantee_s = max(
+            (a.within_s or 0.0 for a in aims if a.kind == "guarantee"), default=0
+        )
+
+    def rank(self, job: JobRun) -> tuple[object, ...]:
+        """Jobs with this in common may stop the same tasks."""
+        return (
+            *(job.priority, job.within, job.spec.team if job.within else ""),
+            round(self.patience(job)),
+        )
+
+    def patience(self, job: JobRun) -> float:
+        """How long a job's tasks may wait for others to end (seconds). An array is through hardly
+        later if each of its tasks waits for at most one run, unless that costs it an aim that it
+        can still meet."""
+        if not job.array:
+            return 0.0
+        owner = self.owner
+        run = owner.learning.expected(job)
+        age = owner.wall() - job.at
+        left = run
+        if job.within and (early := self.guarantee_s - age - owner.claims.poll_s) > 0:
+            left = early
+        for due in owner.learning.dues(job):
+            if age + run <= due:
+                left = min(left, due - age - run)
+                break
+        return max(0.0, min(run, left))
+
+    def remaining(self, job: JobRun, placement: Placement) -> float:
+        """How long a task will run on (seconds), as far as can be told."""
+        if not job.array:
+            return float("inf")
+        run = self.owner.learning.expected(job)
+        ran = self.owner.now - placement.started_at
+        return max(0.0, run - ran) if ran < OUTRUN * run else ran / 2
+
+    def worth(self, patience: float, victim: JobRun, placement: Placement) -> bool:
+        """A task that may be stopped should be: it would run on for longer than can be waited for,
+        the longer the more often it was stopped already."""
+        if patience <= 0:
+            return True
+        before = victim.stops.get(placement.index, 0) if victim.stops is not None else 0
+        return self.remaining(victim, placement) > patience * (1 + before)
+
+    def ends_soon(self, patience: float, victim: JobRun, placement: Placement) -> bool:
+        """A task's room will be free by the time it is needed."""
+        return self.remaining(victim, placement) <= patience
+
+    @staticmethod
+    def stopped(placement: Placement) -> None:
+        """A task is stopped for another: next time it is spared for longer."""
+        job = placement.job
+        if job is not None and job.array:
+            if job.stops is None:
+                job.stops = {}
+            job.stops[placement.index] = job.stops.get(placement.index, 0) + 1
