--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -419,7 +419,14 @@
                 if now - last > self.lease_over and (
                     machine.tasks or machine.strays or machine.name in shard.unknown
                 ):
-                    log.info("worker lease over machine=%s", machine.name)
+                    log.info(
+                        "worker lease over machine=%s tasks=%d heard=%.1f answered=%.1f ever=%d",
+                        machine.name,
+                        len(machine.tasks),
+                        now - machine.heard_at,
+                        now - machine.answered_at,
+                        machine.ever_heard,
+                    )
                     machine.over_session = max(machine.over_session, machine.session)
                     machine.known = False
                     self.forget_tasks(machine)
