--- a/sagecove/coordination/claims/competing.py
+++ b/sagecove/coordination/claims/competing.py
@@ -49,7 +49,13 @@
         if len(job.placed) * share < 1:
             return 0
         begun = self.owner.now - 2 * run - self.ahead_s
-        return int(share * sum(p.started_at >= begun for p in job.placed.values()))
+        # They stand in the order of their starts, and few have run for so long.
+        old = 0
+        for placement in job.placed.values():
+            if placement.started_at >= begun:
+                break
+            old += 1
+        return int(share * (len(job.placed) - old))
 
     def fitting(self, job: JobRun, shard: str, machines: list[Machine], promised: Room) -> int:
         """How many unclaimed tasks fit this shard's free room; they are added to `promised`."""
--- a/sagecove/coordination/claims/ground.py
+++ b/sagecove/coordination/claims/ground.py
@@ -89,13 +89,14 @@
             for other in self.owner.ledger.running(self.around):
                 if not may_stop(job, other):
                     continue
-                for p in other.placed.values():
-                    if p.halt is not None or p.machine.record.shard != self.around:
-                        continue
-                    if stopping.worth(patience, other, p):
-                        going.append(p)
-                    elif stopping.ends_soon(patience, other, p):
-                        ending += other.spec.cpus
+                here = [
+                    p
+                    for p in other.placed.values()
+                    if p.halt is None and p.machine.record.shard == self.around
+                ]
+                worth, soon = stopping.sort(patience, other, here)
+                going += worth
+                ending += soon * other.spec.cpus
             self.ending[key] = ending
             for p in going:
                 if p.job is not None:
--- a/sagecove/coordination/placement.py
+++ b/sagecove/coordination/placement.py
@@ -196,7 +196,8 @@
             open_machines.append((machine, count))
     if not open_machines:
         return []
-    counts = zone_counts(job)
+    # Of arrays that may be anywhere nobody asks where they are, and there are hundreds of tasks.
+    counts = {} if job.array and not spec.spread and not spec.one_zone else zone_counts(job)
     if spec.one_zone:
         if counts:
             zones = [next(iter(counts))]
--- a/sagecove/coordination/stopping.py
+++ b/sagecove/coordination/stopping.py
@@ -95,25 +95,30 @@
                 break
         return max(0.0, min(run, left))
 
-    def remaining(self, job: JobRun, placement: Placement) -> float:
-        """How long a task will run on (seconds), as far as can be told."""
-        if not job.array:
-            return float("inf")
-        run = self.owner.learning.expected(job)
-        ran = self.owner.now - placement.started_at
-        return max(0.0, run - ran) if ran < OUTRUN * run else ran / 2
-
     def worth(self, patience: float, victim: JobRun, placement: Placement) -> bool:
         """A task that may be stopped should be: it would run on for longer than can be waited for,
         the longer the more often it was stopped already."""
-        if patience <= 0:
-            return True
-        before = victim.stops.get(placement.index, 0) if victim.stops is not None else 0
-        return self.remaining(victim, placement) > patience * (1 + before)
-
-    def ends_soon(self, patience: float, victim: JobRun, placement: Placement) -> bool:
-        """A task's room will be free by the time it is needed."""
-        return self.remaining(victim, placement) <= patience
+        return bool(self.sort(patience, victim, [placement])[0])
+
+    def sort(
+        self, patience: float, victim: JobRun, placements: list[Placement]
+    ) -> tuple[list[Placement], int]:
+        """Of a job's tasks those worth being stopped: that would run on for longer than can
+        be waited for, the longer the more often they were stopped already. And how many end soon
+        enough. Services never end."""
+        if patience <= 0 or not victim.array:
+            return placements, 0
+        run = self.owner.learning.expected(victim)
+        now, stops = self.owner.now, victim.stops or {}
+        worth, soon = [], 0
+        for placement in placements:
+            ran = now - placement.started_at
+            left = run - ran if ran < OUTRUN * run else ran / 2
+            if left <= patience:
+                soon += 1
+            elif not stops or left > patience * (1 + stops.get(placement.index, 0)):
+                worth.append(placement)
+        return worth, soon
 
     @staticmethod
     def stopped(placement: Placement) -> None:
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -264,8 +264,11 @@
         machine.known = True
         seen: set[str] = set()
         strays: dict[tuple[str, int], str] = {}
+        # With tasks of a second or two most of a report is tasks that have ended and wait for
+        # their numbers to be durable: 140 on a hunted day, half of what its owners did.
+        tasks = machine.tasks
         for hand in hands:
-            placement = machine.tasks.get(hand.task)
+            placement = tasks.get(hand.task)
             if placement is None or placement.attempt != hand.attempt:
                 adopted = self._recognize(machine, hand) if placement is None else None
                 if adopted is None:
@@ -273,12 +276,15 @@
                     continue
                 placement = adopted
             seen.add(hand.task)
-            self._observe(machine, placement, hand)
-        for task, placement in list(machine.tasks.items()):
-            if placement.doubt_token >= 0 and report.token > placement.doubt_token:
-                placement.doubt_token = -1
-            if task in seen:
-                continue
+            if placement.state != hand.state:
+                self._observe(machine, placement, hand)
+        if machine.name in self.doubted:
+            for placement in tasks.values():
+                if placement.doubt_token >= 0 and report.token > placement.doubt_token:
+                    placement.doubt_token = -1
+        missing = [task for task in tasks if task not in seen] if len(seen) < len(tasks) else []
+        for task in missing:
+            placement = tasks[task]
             if placement.state == SENT:
                 gone = (
                     placement.halt is not None
@@ -331,8 +337,6 @@
 
     def _observe(self, machine: Machine, placement: Placement, hand: w.Hand) -> None:
         owner = self.owner
-        if placement.state == hand.state:
-            return
         owner.ledger.state(placement, hand.state)
         job = placement.job
         assert job is not None
