--- a/bench/size.py
+++ b/bench/size.py
@@ -39,9 +39,9 @@
         pass
 
 
-def build(machines: int, waiting: int) -> World:
+def build(machines: int, waiting: int, nodes: int = 3) -> World:
     """Machines with their records, and tasks that run for good on all of them."""
-    w = Plain()
+    w = Plain(nodes=nodes)
     w.audit = False  # type: ignore[attr-defined]
     w.cloud.capacity = {"small": 0, "gpu": 0}
     w.state.page = 500
@@ -49,7 +49,7 @@
     puts: list[dict[str, Any]] = []
     for number in range(machines):
         name = w.cloud.start("small", "ab"[number % 2], False)
-        record = MachineRecord("small", "ab"[number % 2], False, f"n{number % 3}", "", w.now)
+        record = MachineRecord("small", "ab"[number % 2], False, f"n{number % nodes}", "", w.now)
         puts.append({"put": f"s/machine/{name}", "v": msgspec.to_builtins(record)})
     arrays = machines * TASKS // ARRAY
     for number in range(arrays + waiting):
