Said once: what a job's rights give it, and which jobs fail everywhere

A parallel table and the key found twice, a predicate with an effect, a parameter nobody passed, a second walk over all active jobs, two docstrings that were not so.

--- a/sagecove/coordination/backlog.py
+++ b/sagecove/coordination/backlog.py
@@ -123,7 +123,8 @@
         if job.id in self.active:
             self.open[job.id] = job
 
-    def through(self, job: JobRun, held: list[str]) -> bool:
+    @staticmethod
+    def through(job: JobRun, held: list[str]) -> bool:
         """Nothing is to be done for an active job until something happens to it: all of it that is
         this controller's is on machines and meant to be. Most active jobs are; no pass looks at
         them again before they are stirred."""
@@ -133,10 +134,7 @@
             return False
         if job.gang and (job.failing or any(p.halt is not None for p in job.placed.values())):
             return False
-        if any(job.placeable(shard) for shard in held):
-            return False
-        del self.open[job.id]
-        return True
+        return not any(job.placeable(shard) for shard in held)
 
     def first(self, group: Group, now: float, most: int = FIRST) -> Iterator[JobRun]:
         """The first jobs of a group by the order of claims, those left out that may not be claimed
--- a/sagecove/coordination/claims/ground.py
+++ b/sagecove/coordination/claims/ground.py
@@ -16,7 +16,7 @@
 
 
 class Ground:
-    """What a pass knows of the shard it looks at; made anew for each."""
+    """What a pass knows of the shard it looks at; noted anew for each."""
 
     def __init__(self, owner: Owner) -> None:
         self.owner = owner
@@ -38,9 +38,8 @@
         self.sizes: list[float] = []
         # The shard at hand.
         self.around = ""
-        self.yields: dict[tuple[object, ...], dict[str, list[float]]] = {}
-        # By the same keys: CPUs of tasks that are waited for instead, see `Stopping`.
-        self.ending: dict[tuple[object, ...], float] = {}
+        # By a job's rights: room by machine, and CPUs of tasks that are waited for instead.
+        self.yields: dict[tuple[object, ...], tuple[dict[str, list[float]], float]] = {}
 
     def look_around(self, shard: str) -> None:
         """Note the smallest job of each standing that is running on a shard's machines (of each
@@ -56,58 +55,52 @@
         self.sizes = sorted(sizes)
         self.around = shard
         self.yields.clear()
-        self.ending.clear()
 
     def stoppable(self, job: JobRun) -> bool:
         """There is anything that the job may displace."""
         return any(may_stop(job, other) for other in self.running)
 
-    def _rights(self, job: JobRun) -> tuple[object, ...]:
-        return (
-            *self.owner.stopping.rank(job),
-            bisect_right(self.sizes, largest_victim(job)),
-        )
-
     def coming(self, job: JobRun) -> int:
         """Tasks of an array that find room as others end by themselves, soon enough for it."""
-        if not job.array:
-            return 0
-        self.yielding(job)
-        return int(self.ending[self._rights(job)] / max(job.spec.cpus, 0.1))
+        return int(self._room_of_others(job)[1] / max(job.spec.cpus, 0.1)) if job.array else 0
 
     def yielding(self, job: JobRun) -> dict[str, list[float]]:
-        """Room on machines that is held by what is on its way out or may be stopped for a job.
-        Many jobs have the same rights, so it is found once a pass for all of them."""
-        key = self._rights(job)
-        found = self.yields.get(key)
-        if found is None:
-            found = self.yields[key] = {}
-            stopping = self.owner.stopping
-            patience = stopping.patience(job)
-            going = self.owner.ledger.stopping(self.around)
-            ending = 0.0
-            for other in self.owner.ledger.running(self.around):
-                if not may_stop(job, other):
-                    continue
-                here = [
-                    p
-                    for p in other.placed.values()
-                    if p.halt is None and p.machine.record.shard == self.around
-                ]
-                worth, soon = stopping.sort(patience, other, here)
-                going += worth
-                ending += soon * other.spec.cpus
-            self.ending[key] = ending
-            for p in going:
-                if p.job is not None:
-                    room = found.setdefault(p.machine.name, [0.0, 0.0, 0.0])
-                    for n, amount in enumerate(need(p.job)):
-                        room[n] += amount
-        return found
+        """Room on machines that is held by what is on its way out or may be stopped for a job."""
+        return self._room_of_others(job)[0]
+
+    def _room_of_others(self, job: JobRun) -> tuple[dict[str, list[float]], float]:
+        """The room `yielding` tells, and the CPUs of tasks that end soon enough by themselves. Many
+        jobs have the same rights, so both are found once a pass for all of them."""
+        stopping = self.owner.stopping
+        key = (*stopping.rank(job), bisect_right(self.sizes, largest_victim(job)))
+        known = self.yields.get(key)
+        if known is not None:
+            return known
+        patience = stopping.patience(job)
+        going = self.owner.ledger.stopping(self.around)
+        ending = 0.0
+        for other in self.owner.ledger.running(self.around):
+            if not may_stop(job, other):
+                continue
+            here = [
+                p
+                for p in other.placed.values()
+                if p.halt is None and p.machine.record.shard == self.around
+            ]
+            worth, soon = stopping.sort(patience, other, here)
+            going += worth
+            ending += soon * other.spec.cpus
+        found: dict[str, list[float]] = {}
+        for p in going:
+            if p.job is not None:
+                room = found.setdefault(p.machine.name, [0.0, 0.0, 0.0])
+                for n, amount in enumerate(need(p.job)):
+                    room[n] += amount
+        self.yields[key] = found, ending
+        return found, ending
 
     def candidates(self, job: JobRun, machines: list[Machine]) -> list[Machine]:
-        """Machines with room, and those on which tasks may be stopped for a job, in the order in
-        which they came."""
+        """Machines with room, and those on which tasks may be stopped for a job, by name."""
         owner = self.owner
         names = {m.name for m in machines} | self.yielding(job).keys()
         if job.array:
--- a/sagecove/coordination/claims/passes.py
+++ b/sagecove/coordination/claims/passes.py
@@ -106,6 +106,7 @@
         found = []
         for job in list(owner.backlog.open.values()):
             if owner.backlog.through(job, names):
+                del owner.backlog.open[job.id]
                 job.lacking_since = None
                 continue
             if owner.failures.suspect(job) and not self._may_probe(job):
--- a/sagecove/coordination/claims/results.py
+++ b/sagecove/coordination/claims/results.py
@@ -54,13 +54,7 @@
                 changes = [wire.Put(key, job.with_sets(fin, job.claims))]
             self._write(job, shard, changes)
 
-    def _write(
-        self,
-        job: JobRun,
-        shard: Shard,
-        changes: list[wire.Put | wire.Drop],
-        extra: list[tuple[str, int]] | None = None,
-    ) -> None:
+    def _write(self, job: JobRun, shard: Shard, changes: list[wire.Put | wire.Drop]) -> None:
         """Write a job's record, if neither it nor the shard's holder has changed."""
         owner = self.owner
         job.committing = True
@@ -75,7 +69,7 @@
                 job.claim_after = owner.now + owner.random.uniform(0.3, 1.0)
 
         conditions = [(JOB + job.id, job.stamp), (HOLDER + shard.name, shard.term)]
-        owner.commit(conditions + (extra or []), changes, done)
+        owner.commit(conditions, changes, done)
 
     def trim(self, team: str, shard: Shard, record: QuotaRecord) -> None:
         owner = self.owner
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -389,12 +389,15 @@
         # Machines would not help jobs that fail everywhere. Of many that are alike the first are
         # looked at one by one, and the others' work is added to the last of these.
         jobs: list[JobRun] = []
+        failing: list[JobRun] = []
         self.more = {}
         for job in owner.backlog.active.values():
             if not owner.failures.suspect(job):
                 if job.array:
                     owner.learning.rank(job)
                 jobs.append(job)
+            else:
+                failing.append(job)
         for group in owner.backlog.groups.values():
             members = [j for j in group.jobs.values() if not owner.failures.suspect(j)]
             most = ALIKE_MOST if group.any().home is None else 1
@@ -421,13 +424,9 @@
                     home = shard or homes.get(job.id)
                     self._fill(job, count, home, coming, wanted, now)
         self._fill_arrays([j for j in jobs if j.array], usable, coming, wanted, now)
-        for job in owner.backlog.active.values():
+        for job in failing:
             # Nothing more is rented for what fails everywhere, but its next try needs a machine.
-            if (
-                owner.failures.suspect(job)
-                and now >= job.hold_until
-                and not any(machine_allowed(job.spec, m) for m in usable)
-            ):
+            if now >= job.hold_until and not any(machine_allowed(job.spec, m) for m in usable):
                 self._fill(job, 1, None, coming, wanted, now)
         for (name, zone, spot, shard), count in wanted.items():
             self.rent(name, zone, spot, min(count, c.RENT_MOST), shard)
