Team limits in shares that one writer each keeps, and gifts by need

Need: every controller changed one record of allotments a team; at a limit three of four transactions lost. Change: a package, coordination/limits: a limit is split once among the shards, each shard's holder alone writes what it has given to others, who lacks tells it and is served by a plan that all make alike; changed settings are a new split, gone over to by all before anything grows. A claim no longer writes or depends on an amount.

--- a/sagecove/coordination/claims/competing.py
+++ b/sagecove/coordination/claims/competing.py
@@ -11,13 +11,14 @@
     Room,
     plan,
     promise,
+    room_for,
     room_of,
     slots,
     suits,
 )
 from sagecove.protocol import state as wire
 from sagecove.storage import taskset
-from sagecove.storage.records import HOLDER, JOB, QUOTA
+from sagecove.storage.records import HOLDER, JOB
 from sagecove.storage.store import Outcome, Result
 
 if TYPE_CHECKING:
@@ -25,6 +26,8 @@
 
 # The paper's batchSize bounds what one poll claims; here: claims under way at one time.
 BATCH = 4
+# Tasks of an array for which a share of its team's limit is asked at one time.
+ASK_MOST = 200
 
 
 class Competing:
@@ -62,7 +65,7 @@
     def fitting(self, job: JobRun, shard: str, machines: list[Machine], promised: Room) -> int:
         """How many unclaimed tasks fit this shard's free room; they are added to `promised`."""
         bits = job.unclaimed
-        wanted = self.owner.quota.claimable(shard, job.spec, bits.bit_count())
+        wanted = self.owner.limits.claimable(shard, job.spec, bits.bit_count())
         wanted = self.making.limited(job, wanted)
         if job.whole and wanted < bits.bit_count():
             return 0
@@ -104,7 +107,7 @@
         ahead -= job.placeable(shard.name).bit_count()
         if ahead > 0 and not job.whole:
             count = self.making.limited(
-                job, owner.quota.claimable(shard.name, job.spec, min(wanted, count + ahead))
+                job, owner.limits.claimable(shard.name, job.spec, min(wanted, count + ahead))
             )
         if job.whole and count < wanted and not job.gang and now - job.seen_at > self.ground.poll_s:
             # A service that must be decided in one place starts with what there is.
@@ -113,15 +116,36 @@
             # One task is enough to see; and nothing is stopped for it.
             count = min(count, wanted if job.whole else 1)
         elif self.ground.making and count < wanted and now - job.seen_at > self.ground.poll_s / 3:
-            able = self.making.limited(job, owner.quota.claimable(shard.name, job.spec, wanted))
+            able = self.making.limited(job, owner.limits.claimable(shard.name, job.spec, wanted))
             if able > count:
                 count += self.making.could_make(job, able - count, promised)
         if not count or (job.whole and count < wanted):
             if job.gang:
                 self._gather(job, shard, wanted, machines, promised)
+            self._ask(now, shard.name, job, machines, promised)
             return
+        if count < wanted:
+            self._ask(now, shard.name, job, machines, promised)
         self.claim(job, shard, taskset.lowest(bits, count))
 
+    def _ask(
+        self, now: float, shard: str, job: JobRun, machines: list[Machine], promised: Room
+    ) -> None:
+        """Ask for more of the team's limit, if that is what keeps tasks from room there is here, or
+        that could be made."""
+        wanted = job.unclaimed.bit_count()
+        able = self.owner.limits.claimable(shard, job.spec, wanted)
+        if able >= wanted or job.blamed or not self.ground.making:
+            return
+        # What fits without it has been planned for.
+        lacking = wanted if job.whole else min(wanted - able, ASK_MOST)
+        found = room_for(job, machines, promised, lacking)
+        if found < lacking:
+            found += self.making.could_make(job, lacking - found, promised)
+        if found and (found >= wanted or not job.whole):
+            count = wanted if job.whole else able + found
+            self.owner.limits.want(now, shard, job, count)
+
     def _leave_to_others(self) -> bool:
         """Of a long backlog all controllers would reach for the same few jobs, the first
         in the order, and with five of them four were always beaten: 8 jobs a second claimed by
@@ -188,29 +212,21 @@
     def claim_changes(
         self, shard: Shard, job: JobRun, bits: int
     ) -> tuple[list[wire.Put | wire.Drop], list[tuple[str, int]]] | None:
-        """Changes and conditions of a claim; None where the team's limit stands against it."""
-        owner = self.owner
+        """Changes and conditions of a claim; None where the shard's share of its team's limit
+        stands against it."""
+        count = bits.bit_count()
+        if self.owner.limits.claimable(shard.name, job.spec, count) < count:
+            return None
         claims = dict(job.claims)
         claims[shard.name] = claims.get(shard.name, 0) | bits
-        changes: list[wire.Put | wire.Drop] = [
-            wire.Put(JOB + job.id, job.with_sets(job.fin, claims))
-        ]
-        conditions: list[tuple[str, int]] = []
-        grown = owner.quota.grown(shard.name, job.spec, bits.bit_count())
-        if grown is None:
-            return None
-        if grown is not owner.quota.record(job.spec.team):
-            key = QUOTA + job.spec.team
-            changes.append(wire.Put(key, grown))
-            conditions.append((key, owner.mirror.stamp(key)))
-        return changes, conditions
+        return [wire.Put(JOB + job.id, job.with_sets(job.fin, claims))], []
 
     def claim_alike(
         self, now: float, shard: Shard, jobs: list[JobRun], promised: Room
     ) -> list[JobRun]:
         """Claim as many of the jobs that are alike as fit, and return the others."""
         first = jobs[0]
-        wanted = self.owner.quota.claimable(shard.name, first.spec, len(jobs))
+        wanted = self.owner.limits.claimable(shard.name, first.spec, len(jobs))
         wanted = self.making.limited(first, wanted)
         if not wanted or self.ground.futile.known(first) or self.ground.roomy is None:
             return jobs
--- a/sagecove/coordination/claims/making.py
+++ b/sagecove/coordination/claims/making.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sagecove.coordination.claims.ground import Ground
-from sagecove.coordination.model import JobRun, Machine, Placement, Shard
+from sagecove.coordination.model import EPS, JobRun, Machine, Placement, Shard, standing
 from sagecove.coordination.placement import (
     Room,
     fills_most,
@@ -61,7 +61,7 @@
         ):
             return
         owner = self.owner
-        spare = owner.quota.spare(spec.team)
+        spare = owner.limits.left(spec.team)
         lack = max(held[0] - spare[0], 0.0) / len(owner.settings.nodes)
         if lack <= 0:
             return
@@ -81,6 +81,31 @@
             job.trim_after = now + 4 * self.ground.poll_s
             owner.workers.halt(p, p.job.grace_s, job.id)
 
+    def keep_limit(self, shard: str) -> None:
+        """A limit was lowered below what runs: the last started of the lowest standing stops."""
+        owner = self.owner
+        for team, (cpus, gpus) in owner.limits.excess(shard).items():
+            running = [
+                p
+                for other in owner.ledger.running(shard)
+                if other.spec.team == team
+                for p in other.placed.values()
+                if p.live and p.machine.record.shard == shard
+            ]
+            over = [cpus, gpus]
+            # First what is on its way out already.
+            running.sort(key=lambda p: (p.halt is None, _last(p)))
+            for p in running:
+                assert p.job is not None
+                if not any(
+                    over[n] > EPS and (p.job.spec.cpus, p.job.spec.gpus)[n] > 0 for n in (0, 1)
+                ):
+                    continue
+                over[0] -= p.job.spec.cpus
+                over[1] -= p.job.spec.gpus
+                if p.halt is None:
+                    owner.workers.halt(p, p.job.grace_s, "limit")
+
     def add_held(self, job: JobRun, count: int) -> list[float]:
         """Hold back what tasks of a job need of its team's limit; all that its team holds back."""
         held = self.ground.held_back.setdefault(job.spec.team, [0.0, 0.0])
@@ -93,7 +118,7 @@
         held = self.ground.held_back.get(job.spec.team)
         if held is None or not job.array:
             return wanted
-        spare = self.owner.quota.spare(job.spec.team)
+        spare = self.owner.limits.left(job.spec.team)
         return 0 if held[0] > spare[0] or held[1] > spare[1] else wanted
 
     def make_room(
@@ -192,3 +217,10 @@
         if not making:
             self.ground.futile_making.add(job, rank)
         return making
+
+
+def _last(p: Placement) -> tuple[bool, bool, int, float]:
+    """The order in which tasks are stopped when their team's limit is lowered."""
+    assert p.job is not None
+    first = standing(p.job)
+    return not first[0], not first[1], -first[2], -p.started_at
--- a/sagecove/coordination/claims/passes.py
+++ b/sagecove/coordination/claims/passes.py
@@ -65,6 +65,7 @@
         if self.ground.making:
             self.ground.make_at = now + self.ground.poll_s / 4
         for shard in shards:
+            self.making.keep_limit(shard.name)
             promised: Room = {}
             # What is full has room for nobody; what may be stopped there is found by its tasks.
             every = owner.ledger.free(shard.name)
@@ -94,8 +95,6 @@
                     self.competing.compete(now, shard, machines, job, promised)
                 if not job.array and job.unclaimed and job.claiming is None:
                     self.making.hold_back(now, shard, job)
-        for team, name, record in owner.quota.trims(now):
-            self.results.trim(team, owner.held[name], record)
 
     def _open(self, shards: list[Shard]) -> list[JobRun]:
         """The active jobs that a pass may have to do something for, in order. Most jobs are
@@ -150,8 +149,13 @@
             )
             if not fits and not (self.ground.making and self.ground.stoppable(job)):
                 continue
-            if owner.quota.claimable(shard.name, spec, 1):
+            if owner.limits.claimable(shard.name, spec, 1):
                 out += owner.backlog.first(group, now)
+            elif self.ground.making and not self.making.limited(job, 1):
+                continue
+            elif self.ground.making and (first := next(owner.backlog.first(group, now, 1), None)):
+                # Its share of the limit is all that it lacks here.
+                owner.limits.want(now, shard.name, first, 1)
         return out
 
     def _may_probe(self, job: JobRun) -> bool:
--- a/sagecove/coordination/claims/placing.py
+++ b/sagecove/coordination/claims/placing.py
@@ -60,7 +60,9 @@
             return
         spec = job.spec
         wanted = bits.bit_count()
-        allowed = self.making.limited(job, owner.quota.places(name, spec, wanted))
+        allowed = self.making.limited(job, owner.limits.places(name, spec, wanted))
+        if allowed < wanted and not job.blamed:
+            owner.limits.want(now, name, job, 0)
         indexes: list[int] = []
         if allowed >= wanted or (allowed > 0 and not job.gang):
             most = 1 if job.blamed and not job.gang else 1000
@@ -142,7 +144,7 @@
         """Place claimed jobs that are alike, and return those that found no place."""
         owner = self.owner
         first = jobs[0]
-        allowed = self.making.limited(first, owner.quota.places(shard.name, first.spec, len(jobs)))
+        allowed = self.making.limited(first, owner.limits.places(shard.name, first.spec, len(jobs)))
         if not allowed or self.ground.futile.known(first) or self.ground.roomy is None:
             return jobs
         planned = plan(
--- a/sagecove/coordination/claims/results.py
+++ b/sagecove/coordination/claims/results.py
@@ -1,4 +1,4 @@
-"""Results are made durable; allotments given back; gangs ended as a whole."""
+"""Results are made durable; gangs ended as a whole."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from sagecove.coordination.model import JobRun, Shard
 from sagecove.protocol import state as wire
 from sagecove.protocol.users import DONE
-from sagecove.storage.records import HOLDER, JOB, OVER, QUOTA, OverRecord, QuotaRecord
+from sagecove.storage.records import HOLDER, JOB, OVER, OverRecord
 from sagecove.storage.store import Outcome, Result
 
 if TYPE_CHECKING:
@@ -71,30 +71,6 @@
         conditions = [(JOB + job.id, job.stamp), (HOLDER + shard.name, shard.term)]
         owner.commit(conditions, changes, done)
 
-    def trim(self, team: str, shard: Shard, record: QuotaRecord) -> None:
-        owner = self.owner
-        key = QUOTA + team
-        stamp = owner.mirror.stamp(key)
-        # Until the outcome is known, the smaller allotment holds here.
-        shrink = (stamp, record.shards.get(shard.name, (0.0, 0.0)))
-        owner.quota.shrinking[shard.name, team] = shrink
-        conditions = [(key, stamp), (HOLDER + shard.name, shard.term)]
-        owner.commit(
-            conditions,
-            [wire.Put(key, record)],
-            lambda result: self.trimmed(shard, team, shrink, result),
-        )
-
-    def trimmed(
-        self, shard: Shard, team: str, shrink: tuple[int, tuple[float, float]], result: Result
-    ) -> None:
-        """A reduction that surely was not made no longer counts. Another may be under way by
-        now, and its caution must not end with this one's failure."""
-        shrinking = self.owner.quota.shrinking
-        surely_not = result.outcome in (Outcome.REFUSED, Outcome.CONFLICT)
-        if surely_not and shrinking.get((shard.name, team)) == shrink:
-            del shrinking[shard.name, team]
-
     def gangs(self, now: float) -> None:
         """A gang that lost a task ends as a whole, and starts anew once all of it is gone."""
         workers = self.owner.workers
--- a/sagecove/coordination/explain.py
+++ b/sagecove/coordination/explain.py
@@ -83,8 +83,8 @@
     out = []
     count = job.unclaimed.bit_count()
     need = count if job.whole else 1
-    team = owner.quota.teams.get(spec.team)
-    spare = owner.quota.spare(spec.team) if team is not None else (0.0, 0.0)
+    team = owner.limits.teams.get(spec.team)
+    spare = owner.limits.left(spec.team) if team is not None else (0.0, 0.0)
     if need * spec.cpus > spare[0] or need * spec.gpus > spare[1]:
         out.append(f"{count} tasks wait for team {spec.team}'s limit")
     fitting = {t.name for t in owner.types.values() if type_allowed(spec, t)}
--- a/sagecove/coordination/leadership.py
+++ b/sagecove/coordination/leadership.py
@@ -42,6 +42,7 @@
         self.renewing = False
         self.renew_at = 0.0
         self.member_put = False
+        self.told_limits: dict[str, tuple[int, int]] = {}
         # Keys with a takeover or hand-back under way.
         self.busy: set[str] = set()
         self.missing_since: dict[str, float] = {}
@@ -161,10 +162,13 @@
         if not owner.mirror.loaded or self.lease is None:
             return
         node = owner.settings.node
+        if (differing := owner.limits.settling.differing()) != self.told_limits:
+            self.told_limits = differing
+            self.member_put = False
         if not self.member_put:
             self.member_put = True
             changes: list[wire.Put | wire.Drop] = [
-                wire.Put(MEMBER + node, MemberRecord(self.lease), self.lease)
+                wire.Put(MEMBER + node, MemberRecord(self.lease, self.told_limits), self.lease)
             ]
             owner.commit([], changes, self._member_done, urgent=True)
         item = owner.mirror.items.get(HOLDER + node)
--- a/sagecove/coordination/ledger.py
+++ b/sagecove/coordination/ledger.py
@@ -12,11 +12,10 @@
 
 from typing import Protocol
 
-from sagecove.coordination.model import EPS, JobRun, Machine, Placement, Shard
+from sagecove.coordination.model import EPS, PARTS, JobRun, Machine, Placement, Shard, parts
 from sagecove.coordination.ports import Clock
 from sagecove.protocol import workers as w
 
-PARTS = 1_000_000
 # What a machine of a type not known yet may hold (CPUs, GPUs): more than any limit.
 ANYTHING = 1_000_000_000
 
@@ -30,6 +29,16 @@
         """A pass should look at the job again."""
 
 
+class Noting(Protocol):
+    """Who keeps what teams claim in all shards."""
+
+    def noted(self, job: JobRun) -> None:
+        """A job's claims may have changed."""
+
+    def over(self, job: JobRun) -> None:
+        """A job is over."""
+
+
 class Books(Clock, Protocol):
     """What the ledger asks of its surroundings."""
 
@@ -40,10 +49,9 @@
     def backlog(self) -> Stirred:
         """Jobs, sorted by whether a pass must look at them."""
 
-
-def parts(amount: float) -> int:
-    """An amount in millionths."""
-    return round(amount * PARTS)
+    @property
+    def standing(self) -> Noting:
+        """What teams claim in all shards."""
 
 
 class Account:
@@ -96,15 +104,30 @@
 
     def used(self, shard: str, team: str) -> Pair:
         """An upper bound of what a team's tasks take on a shard's machines (CPUs, GPUs)."""
+        have = self.used_parts(shard, team)
+        return have[0] / PARTS, have[1] / PARTS
+
+    def used_parts(self, shard: str, team: str) -> tuple[int, int]:
+        """The same in millionths."""
         account = self.accounts[shard]
         have = account.used.get(team, (0, 0))
-        return (have[0] + account.whole[0]) / PARTS, (have[1] + account.whole[1]) / PARTS
+        return have[0] + account.whole[0], have[1] + account.whole[1]
+
+    def known_parts(self, shard: str, team: str) -> tuple[int, int]:
+        """What a team's tasks take on machines of a shard whose tasks are known, in millionths."""
+        have = self.accounts[shard].used.get(team, (0, 0))
+        return have[0], have[1]
 
     def claimed(self, shard: str, team: str) -> Pair:
         """What a shard's claims of a team will take (CPUs, GPUs)."""
-        have = self.accounts[shard].claimed.get(team, (0, 0))
+        have = self.claimed_parts(shard, team)
         return have[0] / PARTS, have[1] / PARTS
 
+    def claimed_parts(self, shard: str, team: str) -> tuple[int, int]:
+        """The same in millionths."""
+        have = self.accounts[shard].claimed.get(team, (0, 0))
+        return have[0], have[1]
+
     def running(self, shard: str) -> list[JobRun]:
         """Jobs that take room on a shard's machines."""
         account = self.accounts.get(shard)
@@ -261,6 +284,7 @@
         if self.owner.jobs.get(job.id) is not job:
             # Over: what is still on machines is in the way, but claims nothing.
             return
+        self.owner.standing.noted(job)
         if job.claims or job.claiming is not None or job.booked:
             for name, account in self.accounts.items():
                 bits = job.claimed(name)
@@ -272,6 +296,7 @@
 
     def over(self, job: JobRun) -> None:
         """A job is over: it claims nothing."""
+        self.owner.standing.over(job)
         for name, account in self.accounts.items():
             self._book(job, name, account, 0)
 
--- /dev/null
+++ b/sagecove/coordination/limits/limits.py
@@ -0,0 +1,246 @@
+"""The part of the owner that keeps teams' limits: shares, wants, gifts, changed settings."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+from sagecove.config import Settings, Team
+from sagecove.coordination.limits.account import Account
+from sagecove.coordination.limits.records import (
+    ROW,
+    SETTLEMENT,
+    ZERO,
+    Amount,
+    least,
+    minus,
+    most,
+    plus,
+    within,
+)
+from sagecove.coordination.limits.rows import Commit, Rows
+from sagecove.coordination.limits.settling import Settling
+from sagecove.coordination.limits.standing import Standing
+from sagecove.coordination.limits.transfers import plan
+from sagecove.coordination.limits.wants import Wants
+from sagecove.coordination.model import PARTS, JobRun, Shard, parts
+from sagecove.protocol.peers import Want
+from sagecove.protocol.users import Job
+from sagecove.storage.mirror import Event, Mirror
+from sagecove.storage.records import MEMBER
+
+log = logging.getLogger("sagecove.limits")
+
+Pair = tuple[float, float]
+
+# A limit of which more than this share is not claimed is far.
+FAR = 0.25
+
+
+class Books(Protocol):
+    """What tasks and claims take in a shard held here (CPUs, GPUs in millionths)."""
+
+    def used_parts(self, shard: str, team: str) -> Amount:
+        """An upper bound of what a team's tasks take on the shard's machines."""
+
+    def known_parts(self, shard: str, team: str) -> Amount:
+        """The same of machines whose tasks are known."""
+
+    def claimed_parts(self, shard: str, team: str) -> Amount:
+        """What the shard's claims of a team will take."""
+
+
+class Limits:
+    """Shares of teams' limits, for the shards held here."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        books: Books,
+        standing: Standing,
+        mirror: Mirror,
+        commit: Commit,
+        behind: Callable[[], None],
+        random: Random,
+    ) -> None:
+        self.nodes = settings.nodes
+        self.books = books
+        self.standing = standing
+        self.teams: dict[str, Team] = {t.name: t for t in settings.params.teams}
+        self.accounts: dict[str, Account] = {name: Account() for name in self.teams}
+        self.rows = Rows(self.accounts, mirror, commit, behind)
+        self.settling = Settling(
+            settings, self.accounts, standing, mirror, self.rows, commit, random
+        )
+        self.wants = Wants(
+            self.settling.poll_s,
+            lambda: [node for node in settings.nodes[1:] if MEMBER + node in mirror.items],
+        )
+
+    # -- answers ----------------------------------------------------------------------------------
+
+    def limit(self, team: str) -> Amount:
+        """What a team may use by this controller's settings and by what has been agreed: the
+        smaller."""
+        limit = self.settling.configured[team]
+        q = self.accounts[team].settlement
+        return least(limit, q.limit) if q is not None else limit
+
+    def share(self, shard: str, team: str) -> Amount:
+        """What a team's tasks may use on a shard's machines."""
+        return self.accounts[team].share(shard)
+
+    def committed(self, shard: str, team: str) -> Amount:
+        """What all of a shard's claims of a team will take, or its tasks take if that is more."""
+        return most(self.books.claimed_parts(shard, team), self.books.used_parts(shard, team))
+
+    def places(self, shard: str, spec: Job, wanted: int) -> int:
+        """How many more tasks of this kind a shard may start within its share."""
+        if self.frozen(spec.team):
+            return 0
+        used = self.books.used_parts(shard, spec.team)
+        return _count(spec, minus(self.share(shard, spec.team), used), wanted)
+
+    def claimable(self, shard: str, spec: Job, wanted: int) -> int:
+        """How many more tasks a shard may claim within its share."""
+        if self.frozen(spec.team):
+            return 0
+        have = self.committed(shard, spec.team)
+        return _count(spec, minus(self.share(shard, spec.team), have), wanted)
+
+    def covered(self, shard: str, team: str) -> bool:
+        """A shard's claims, those under way included, are within its share."""
+        return not self.frozen(team) and within(
+            self.books.claimed_parts(shard, team), self.share(shard, team)
+        )
+
+    def frozen(self, team: str) -> bool:
+        """Nothing of a team starts: its limit is not split yet, or the split is of more than these
+        settings allow, and is about to be lowered."""
+        q = self.accounts[team].settlement
+        return q is None or not within(q.limit, self.settling.configured[team])
+
+    def left(self, team: str) -> Pair:
+        """What of a team's limit nobody claims, anywhere (CPUs, GPUs)."""
+        rest = minus(self.limit(team), self.standing.total(team))
+        return rest[0] / PARTS, rest[1] / PARTS
+
+    def excess(self, shard: str) -> dict[str, Pair]:
+        """By team, what its tasks use in a shard beyond its part of a limit that was lowered."""
+        out = {}
+        for team in self.settling.open:
+            account = self.accounts[team]
+            if account.settlement is not None and not account.settled:
+                over = minus(self.books.known_parts(shard, team), account.share(shard))
+                if over[0] > 0 or over[1] > 0:
+                    out[team] = over[0] / PARTS, over[1] / PARTS
+        return out
+
+    # -- wants ------------------------------------------------------------------------------------
+
+    def want(self, now: float, shard: str, job: JobRun, more: int) -> None:
+        """A shard could use more of a team's limit, for so many more tasks of a job than it has
+        claimed. What it wants is told to those who have it."""
+        spec = job.spec
+        team = spec.team
+        need = more * parts(spec.cpus), more * parts(spec.gpus)
+        target = plus(self.committed(shard, team), need)
+        limit, total = self.limit(team), self.standing.total(team)
+        step = [0, 0]
+        for n in (0, 1):
+            rest = limit[n] - total[n] - need[n]
+            if need[n] and rest > limit[n] * FAR:
+                # Far from the limit in coarse steps, to save writes.
+                step[n] = rest // (2 * len(self.nodes))
+        self.wants.feel(now, team, shard, job, plus(target, (step[0], step[1])))
+
+    def told(self, now: float, node: str, wants: list[Want]) -> None:
+        """All that a peer wants."""
+        self.wants.told(now, node, [want for want in wants if want.team in self.teams])
+
+    # -- what follows -----------------------------------------------------------------------------
+
+    def changed(self, event: Event, now: float) -> None:
+        """A settlement or a row has changed."""
+        key, value = event.key, event.value
+        if key.startswith(SETTLEMENT):
+            team = key[len(SETTLEMENT) :]
+            if (account := self.accounts.get(team)) is None:
+                return
+            account.settlement = value
+            account.epoch = event.stamp if value is not None else 0
+            account.changed()
+        else:
+            team, _, shard = key[len(ROW) :].rpartition("/")
+            if (account := self.accounts.get(team)) is None:
+                return
+            account.rows.pop(shard, None)
+            if value is not None:
+                account.rows[shard] = value
+            wanted = value.want if value is not None else None
+            if wanted is not None and wanted.shard not in self.held(team):
+                self.wants.told(now, key, [wanted])
+            else:
+                self.wants.theirs.pop(key, None)
+            self.rows.changed(team, shard)
+        self.settling.open.add(team)
+
+    def held(self, team: str) -> set[str]:
+        """Shards that want something here of a team's limit."""
+        return {shard for name, shard in self.wants.mine if name == team}
+
+    def lost(self, shard: str) -> None:
+        """A shard is held here no longer."""
+        self.rows.lost(shard)
+        self.wants.lost(shard)
+
+    def run(self, now: float, acting: list[Shard]) -> None:
+        """After a pass: settle what changed, give what others need, let go of old wants."""
+        self.wants.forget_old(now)
+        self.rows.repeat()
+        if self.settling.open:
+            self.settling.run(now, acting, self.books.used_parts)
+        for team, wants in self.wants.by_team().items():
+            self._give(team, acting, wants)
+        shards = {shard.name: shard for shard in acting}
+        for want in self.wants.unheard(now):
+            account = self.accounts[want.team]
+            shard = shards.get(want.shard)
+            lacks = not within(want.target, account.share(want.shard))
+            if shard is not None and account.settled and lacks:
+                if want.shard not in account.pending:
+                    row = account.giving(want.shard, {})
+                    row.want = want
+                    self.rows.put(want.team, shard, row)
+
+    def _give(self, team: str, acting: list[Shard], wants: list[Want]) -> None:
+        account = self.accounts[team]
+        by_giver: dict[str, dict[str, Amount]] = {}
+        for gift in plan(account, self.standing.claimed.get(team, {}), wants):
+            to = by_giver.setdefault(gift.giver, {})
+            to[gift.to] = plus(to.get(gift.to, ZERO), gift.amount)
+        for shard in acting:
+            gifts = by_giver.get(shard.name)
+            if gifts is None or shard.name in account.pending:
+                continue
+            # Others go by the records; what tasks here take may be more.
+            rest = most(ZERO, minus(account.share(shard.name), self.committed(shard.name, team)))
+            out: dict[str, Amount] = {}
+            for to_shard, amount in gifts.items():
+                part = least(amount, rest)
+                if part != ZERO:
+                    out[to_shard] = part
+                    rest = minus(rest, part)
+            if out:
+                log.info("gift team=%s shard=%s to=%s", team, shard.name, out)
+                self.rows.put(team, shard, account.giving(shard.name, out))
+
+
+def _count(spec: Job, room: Amount, wanted: int) -> int:
+    count = wanted
+    for have, need in ((room[0], parts(spec.cpus)), (room[1], parts(spec.gpus))):
+        if need > 0:
+            count = min(count, have // need if have > 0 else 0)
+    return max(0, count)
--- /dev/null
+++ b/sagecove/coordination/limits/standing.py
@@ -0,0 +1,70 @@
+"""What teams have claimed, by all shards' records: one account that every controller can check.
+
+Claims are durable and read by all, so this is the same everywhere but for a moment's delay. What a
+team is owed, what it borrows and who gives back first follow from it.
+"""
+
+from __future__ import annotations
+
+from sagecove.config import Team
+from sagecove.coordination.limits.records import ZERO, Amount, plus
+from sagecove.coordination.model import JobRun, parts
+
+
+class Standing:
+    """Claims by team and shard (CPUs, GPUs in millionths)."""
+
+    def __init__(self, teams: dict[str, Team]) -> None:
+        self.teams = teams
+        self.claimed: dict[str, dict[str, Amount]] = {}
+        # By team: what all its claims come to.
+        self.totals: dict[str, Amount] = {}
+
+    def noted(self, job: JobRun) -> None:
+        """A job's claims may have changed."""
+        before, job.stood = job.stood, None
+        for shard, bits in job.claims.items():
+            if count := bits.bit_count():
+                if job.stood is None:
+                    job.stood = {}
+                job.stood[shard] = count
+        if before == job.stood:
+            return
+        after = job.stood or {}
+        for shard in {*(before or ()), *after}:
+            more = after.get(shard, 0) - (before or {}).get(shard, 0)
+            if more:
+                self._add(job, shard, more)
+
+    def over(self, job: JobRun) -> None:
+        """A job is over: it claims nothing."""
+        before, job.stood = job.stood, None
+        for shard, count in (before or {}).items():
+            self._add(job, shard, -count)
+
+    def _add(self, job: JobRun, shard: str, count: int) -> None:
+        team = job.spec.team
+        amount = count * parts(job.spec.cpus), count * parts(job.spec.gpus)
+        table = self.claimed.setdefault(team, {})
+        now = plus(table.get(shard, ZERO), amount)
+        if now == ZERO:
+            table.pop(shard, None)
+        else:
+            table[shard] = now
+        self.totals[team] = plus(self.totals.get(team, ZERO), amount)
+
+    def total(self, team: str) -> Amount:
+        """All that a team claims."""
+        return self.totals.get(team, ZERO)
+
+    def borrowed(self, team: str) -> float:
+        """What a team claims beyond its guarantee, as a part of that: the larger of its parts of
+        CPUs and GPUs. Of a team without a guarantee, its claims in tasks' whole units."""
+        known = self.teams.get(team)
+        if known is None:
+            return 0.0
+        out = 0.0
+        for have, owed in zip(self.total(team), (known.cpus, known.gpus), strict=True):
+            mine = parts(owed)
+            out = max(out, (have - mine) / max(mine, parts(1.0)))
+        return out
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -14,6 +14,13 @@
 
 SENT = "sent"
 EPS = 1e-6
+# Amounts that must add up are kept in millionths, as integers.
+PARTS = 1_000_000
+
+
+def parts(amount: float) -> int:
+    """An amount in millionths."""
+    return round(amount * PARTS)
 
 
 class JobRun:
@@ -61,6 +68,7 @@
         "service",
         "spec",
         "stamp",
+        "stood",
         "stops",
         "stuck_at",
         "trim_after",
@@ -131,6 +139,8 @@
         self.home: Home | None = None
         # By task: how often it was stopped for others, see `Stopping`.
         self.stops: dict[int, int] | None = None
+        # Per shard, how many tasks its claims count for its team: by `Standing`.
+        self.stood: dict[str, int] | None = None
         # Where it rests, see `Backlog`.
         self.alike: tuple[object, ...] | None = None
         self.update(record, stamp)
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -19,6 +19,10 @@
 from sagecove.coordination.leadership import Leadership
 from sagecove.coordination.learning import Learning
 from sagecove.coordination.ledger import Ledger
+from sagecove.coordination.limits.guarantees import Guarantees
+from sagecove.coordination.limits.limits import Limits
+from sagecove.coordination.limits.records import KINDS, ROW, SETTLEMENT
+from sagecove.coordination.limits.standing import Standing
 from sagecove.coordination.model import JobRun, Machine, Shard
 from sagecove.coordination.peers import Peers
 from sagecove.coordination.placement import (
@@ -26,7 +30,6 @@
 )
 from sagecove.coordination.ports import TICK_S, Done, Feature
 from sagecove.coordination.provision import Provision
-from sagecove.coordination.quota import Quota
 from sagecove.coordination.requests import Requests
 from sagecove.coordination.shards import Shards
 from sagecove.coordination.stopping import Stopping
@@ -101,9 +104,20 @@
         self.shards = Shards(self)
         self.requests = Requests(self)
         self.backlog = Backlog(self)
+        teams = {team.name: team for team in settings.params.teams}
+        self.standing = Standing(teams)
         self.ledger = Ledger(self)
+        self.guarantees = Guarantees(teams, self.jobs, self.backlog.settle)
         self.ends = Ends(self)
-        self.quota = Quota(self)
+        self.limits = Limits(
+            settings,
+            self.ledger,
+            self.standing,
+            self.mirror,
+            lambda *args: self.commit(*args, urgent=True),
+            self.sync.want_sync,
+            random,
+        )
         self.leadership = Leadership(self)
         self.failures = Failures(self)
         self.workers = Workers(self)
@@ -112,7 +126,7 @@
         self.users = Users(self)
         self.provision = Provision(self)
         self.features = features(self) if features is not None else []
-        self.kinds = [kind for feature in self.features for kind in feature.records]
+        self.kinds = [*KINDS, *(kind for feature in self.features for kind in feature.records)]
 
     # -- the loop -------------------------------------------------------------------------------
 
@@ -182,6 +196,7 @@
         self.provision.tick(now)
         self.upkeep.return_idle(now)
         self.peers.tell(now)
+        self.peers.tell_wants(now)
         self.upkeep.tell_waits(now)
         self.ends.tick(now)
         if self.mirror.loaded and now - self.sync.synced_at > self.leadership.length / 8:
@@ -194,16 +209,16 @@
         if self.jobs_changed:
             self.jobs_changed = False
             loads = [load for feature in self.features for load in feature.loads()]
-            self.quota.assign_guarantees(loads)
+            self.guarantees.assign(loads)
         for feature in self.features:
             feature.before_pass(now)
         self.backlog.settle_open()
         self.claims.run(now)
+        self.limits.run(now, [self.held[s] for s in self.shards.acting_shards(now)])
+        self.peers.tell_wants(now)
         for feature in self.features:
             feature.after_pass(now)
 
-    # -- requests -------------------------------------------------------------------------------
-
     # -- calls ----------------------------------------------------------------------------------
 
     def call(
@@ -284,6 +299,8 @@
             )
             for machine in self.machines.values():
                 self._set_kind(machine)
+        elif key.startswith((ROW, SETTLEMENT)):
+            self.limits.changed(event, self.now)
         elif key.startswith(r.HOLDER):
             if event.value is None:
                 self.leadership.check_holders()
@@ -317,7 +334,7 @@
         # Or all controllers would reach for it in the same moment, and all but one in vain.
         job.claim_after = self.now + self.random.uniform(0.0, self.claims.poll_s / 6)
         self.learning.note_arrival(job)
-        self.quota.job_seen(job)
+        self.guarantees.job_seen(job)
         for feature in self.features:
             feature.job_seen(job)
         self.backlog.settle(job)
@@ -327,7 +344,7 @@
         """A job is done or cancelled, durably: whatever of it is still on machines stops."""
         del self.jobs[job.id]
         self.jobs_changed = True
-        self.quota.job_over(job)
+        self.guarantees.job_over(job)
         for feature in self.features:
             feature.job_over(job)
         self.backlog.remove(job)
@@ -375,11 +392,3 @@
         if kind is not None:
             machine.dear = dearness(kind, machine.record.spot, self.base_price)
         self.ledger.look(machine)
-
-    # -- shards ---------------------------------------------------------------------------------
-
-    # -- machines that nobody needs -------------------------------------------------------------
-
-    # -- what is learned ------------------------------------------------------------------------
-
-    # -- peers ----------------------------------------------------------------------------------
--- a/sagecove/coordination/peers.py
+++ b/sagecove/coordination/peers.py
@@ -10,8 +10,16 @@
 
 from sagecove.coordination.effects import Asked, Reply
 from sagecove.coordination.model import Machine
-from sagecove.coordination.ports import Done
-from sagecove.protocol.peers import Hint, read_hint, read_promise
+from sagecove.coordination.ports import TICK_S, Done
+from sagecove.protocol.peers import (
+    Hint,
+    Promise,
+    Want,
+    Wants,
+    read_hint,
+    read_promise,
+    read_wants,
+)
 from sagecove.protocol.users import Refusal
 
 if TYPE_CHECKING:
@@ -42,6 +50,7 @@
         self.hungry: dict[str, tuple[str, int, float]] = {}
         self.cancelled_lately: list[str] = []
         self.hint_at = 0.0
+        self.wants_at = 0.0
         # By node: its last hints, as many as it tells parts in, which are all it has said last.
         self.told: dict[str, deque[Hint]] = {}
         self.part = 0
@@ -81,12 +90,35 @@
             self.owner.provision.draining[:FEW],
             self.cancelled_lately,
             [job.id for job in self.owner.backlog.active.values() if job.blamed][:FEW],
+            self.owner.limits.wants.here()[:FEW],
         )
         self.drain(hint)
         self.cancelled_lately = []
         for peer in self.owner.settings.peers:
             self.owner.call(peer.addr, "POST", "/hint", hint, 1.0, self._hinted(peer.node, now))
 
+    def tell_wants(self, now: float) -> None:
+        """What is wanted of teams' limits can't wait for the next hint."""
+        if not self.owner.limits.wants.news or now < self.wants_at:
+            return
+        self.owner.limits.wants.news = False
+        self.wants_at = now + TICK_S / 2
+        wants = Wants(self.owner.settings.node, self.owner.limits.wants.here()[:FEW])
+        for peer in self.owner.settings.peers:
+            self.owner.call(peer.addr, "POST", "/wants", wants, 1.0, self._took_in(peer.node))
+
+    def _took_in(self, node: str) -> Done:
+        def done(status: int | None, body: bytes) -> None:
+            if status == 200:
+                self.owner.limits.wants.heard(self.owner.now, node)
+
+        return done
+
+    def _wanted(self, node: str, wants: list[Want]) -> None:
+        if node in self.owner.settings.nodes:
+            self.owner.limits.told(self.owner.now, node, wants)
+        self.owner.dirty = self.owner.dirty or bool(wants)
+
     def drain(self, hint: Hint) -> None:
         for name in hint.drain:
             if (machine := self.owner.machines.get(name)) is not None:
@@ -100,6 +132,7 @@
             except (msgspec.MsgspecError, UnicodeDecodeError):
                 answer = None
             if answer is not None:
+                self.owner.limits.wants.heard(self.owner.now, node)
                 self.owner.leadership.promised(node, sent, answer)
 
         return done
@@ -114,6 +147,11 @@
             self.owner.workers.report(ask.body, ask.exchange, relayed=True)
             return
         try:
+            if ask.path == "/wants":
+                said = read_wants(ask.body)
+                self._wanted(said.node, said.wants)
+                self.owner.effects.append(Reply(ask.exchange, 200, Promise()))
+                return
             hint = read_hint(ask.body)
         except (msgspec.MsgspecError, UnicodeDecodeError):
             self.owner.effects.append(Reply(ask.exchange, 400, Refusal("unreadable")))
@@ -128,6 +166,7 @@
             for job_id, (shard, count) in hint.hungry.items():
                 self.hungry[job_id] = (shard, count, self.owner.now)
             self.drain(hint)
+            self._wanted(hint.node, hint.wants)
             for job_id in hint.failing:
                 if (job := self.owner.jobs.get(job_id)) is not None:
                     job.blamed_elsewhere_at = self.owner.now
--- a/sagecove/coordination/placement.py
+++ b/sagecove/coordination/placement.py
@@ -114,6 +114,17 @@
     return cpus, gpus, memory
 
 
+def room_for(job: JobRun, machines: Iterable[Machine], promised: Room, most: int) -> int:
+    """How many tasks of a job find room on machines, counted up to `most`."""
+    found = 0
+    for machine in machines:
+        if found >= most:
+            break
+        if suits(job, machine):
+            found += slots(job.spec, room_of(machine, promised))
+    return min(found, most)
+
+
 def promise(promised: Room, name: str, spec: Job, count: int = 1) -> None:
     """Count planned tasks on a machine in (or, with a negative count, out)."""
     held = promised.setdefault(name, [0.0, 0.0, 0.0])
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -543,7 +543,7 @@
             others, more = self.more.get(job.id, (0, 0))
             unclaimed += more
             left += more
-            limit = owner.quota.teams.get(job.spec.team)
+            limit = owner.limits.teams.get(job.spec.team)
             if limit is not None and job.spec.cpus > 0:
                 # More than its team may use at one time would not run anyway.
                 left = min(left, (1 + others) * 4.0 * max(1, int(limit.cpus_max / job.spec.cpus)))
--- a/sagecove/coordination/shards.py
+++ b/sagecove/coordination/shards.py
@@ -76,6 +76,7 @@
         if shard is None:
             return
         log.info("shard lost shard=%s term=%d", name, shard.term)
+        self.owner.limits.lost(name)
         jobs = list(self.owner.backlog.active.values())
         self.owner.ledger.closed(name, jobs)
         for machine in self.shard_machines(name):
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -136,7 +136,7 @@
     def impossible(self, job: u.Job) -> str | None:
         """Why a job can never run, if it can't."""
         owner = self.owner
-        team = owner.quota.teams.get(job.team)
+        team = owner.limits.teams.get(job.team)
         if team is None:
             return f"unknown team {job.team}"
         fitting = [
@@ -168,9 +168,6 @@
         if run.service:
             owner.learning.settle(run)
         claimed = self._claim_now(run)
-        if claimed is not None and len(claimed[0]) > 1 and owner.store.short(owner.now):
-            # Many at once: that each of them is durable soon comes before a larger allotment.
-            claimed = None
         if claimed is not None:
             changes = claimed[0] + more
             conditions += claimed[1]
@@ -227,7 +224,7 @@
         count = claims.competing.fitting(job, node, machines, promised)
         if count < job.spec.tasks and job.priority >= 2:
             # Users wait for these: room is made at once where it may be.
-            able = owner.quota.claimable(node, job.spec, job.spec.tasks)
+            able = owner.limits.claimable(node, job.spec, job.spec.tasks)
             if able > count:
                 count += claims.making.could_make(job, able - count, promised)
                 ground.make_at = 0.0
--- a/sagecove/protocol/peers.py
+++ b/sagecove/protocol/peers.py
@@ -3,6 +3,23 @@
 import msgspec
 
 
+class Want(msgspec.Struct, frozen=True, array_like=True):
+    """A shard needs its share of a team's limit to be `target` (CPUs and GPUs in millionths), for
+    the job that `rank` tells: shards are served in this order, the same for all who compare."""
+
+    team: str
+    shard: str
+    rank: tuple[int, int, int, float, str]
+    target: tuple[int, int]
+
+
+class Wants(msgspec.Struct):
+    """All that a controller wants of teams' limits, told when it changes."""
+
+    node: str
+    wants: list[Want]
+
+
 class Hint(msgspec.Struct, omit_defaults=True):
     """A controller's view, sent about once a second."""
 
@@ -26,6 +43,8 @@
     cancelled: list[str] = []
     # Jobs claimed here that fail wherever they run.
     failing: list[str] = []
+    # What shards held here want of teams' limits.
+    wants: list[Want] = []
 
 
 class Promise(msgspec.Struct):
@@ -38,4 +57,5 @@
 
 
 read_promise = msgspec.json.Decoder(Promise).decode
+read_wants = msgspec.json.Decoder(Wants).decode
 read_hint = msgspec.json.Decoder(Hint).decode
--- a/sagecove/storage/records.py
+++ b/sagecove/storage/records.py
@@ -18,7 +18,6 @@
 MACHINE = "s/machine/"
 HOLDER = "s/holder/"
 MEMBER = "s/member/"
-QUOTA = "s/quota/"
 RENTAL = "s/rental/"
 TYPES = "s/types"
 PROVISIONER = "s/role/provisioner"
@@ -66,16 +65,12 @@
     vacated: bool = False
 
 
-class MemberRecord(msgspec.Struct):
+class MemberRecord(msgspec.Struct, omit_defaults=True):
     """A controller that is up; its lease id lets others hand it a shard in one write."""
 
     lease: int
-
-
-class QuotaRecord(msgspec.Struct):
-    """A team's limit split into allotments `[cpus, gpus]` per shard; their sum obeys the limit."""
-
-    shards: dict[str, tuple[float, float]] = {}
+    # Teams whose limit by its settings is not the one agreed on (CPUs, GPUs in millionths).
+    limits: dict[str, tuple[int, int]] = {}
 
 
 class RentalRecord(msgspec.Struct):
@@ -99,7 +94,6 @@
     (MACHINE, MachineRecord),
     (HOLDER, HolderRecord),
     (MEMBER, MemberRecord),
-    (QUOTA, QuotaRecord),
     (RENTAL, RentalRecord),
     (PROVISIONER, HolderRecord),
     (TYPES, TypesRecord),
--- a/sagecove/sweeps/claims.py
+++ b/sagecove/sweeps/claims.py
@@ -15,7 +15,7 @@
 from sagecove.protocol import state as wire
 from sagecove.protocol.users import CANCELLED, DONE, Status
 from sagecove.storage import taskset
-from sagecove.storage.records import HOLDER, JOB, OVER, QUOTA, JobRecord
+from sagecove.storage.records import HOLDER, JOB, OVER, JobRecord
 from sagecove.storage.store import Outcome, Result
 from sagecove.storage.taskset import members
 from sagecove.sweeps.model import Sweep, decoded
@@ -29,8 +29,6 @@
 # A point that is done waits so long for others of its block to be written with it: PROTOCOL gives
 # 3 s until its user expects to be told.
 DONE_WAIT_S = 1.0
-# Teams whose allotments may grow in one write, beside the block itself.
-TEAMS_MOST = 6
 
 
 class Block:
@@ -333,17 +331,13 @@
         changes: list[wire.Put | wire.Drop] = []
         conditions = self._conditions(shard)
         for team in list(dict.fromkeys(job.spec.team for job, _ in claiming.values())):
-            grown = owner.quota.grown_by(shard.name, team, 0.0, 0.0)
-            if grown is None or len(changes) == TEAMS_MOST:
+            if not owner.limits.covered(shard.name, team):
                 # The limit stands against it by now: they are left to the next pass.
                 for k, (job, _) in list(claiming.items()):
                     if job.spec.team == team:
                         del claiming[k]
                         self._settle(job)
                         job.claim_after = owner.now + owner.claims.poll_s / 2
-            elif grown is not owner.quota.record(team):
-                changes.append(wire.Put(QUOTA + team, grown))
-                conditions.append((QUOTA + team, owner.mirror.stamp(QUOTA + team)))
         if not claiming and not giving and not finishing:
             return
         record = self.record()
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -9,6 +9,7 @@
 
 from sagecove.coordination.backlog import Backlog
 from sagecove.coordination.ledger import Ledger
+from sagecove.coordination.limits.standing import Standing
 from sagecove.coordination.model import JobRun, Machine, Placement, Shard
 from sagecove.coordination.recount import differences
 from sagecove.lab.deployment import job
@@ -35,6 +36,7 @@
         self.failures: Any = None
         self.learning: Any = None
         self.backlog = Backlog(self)
+        self.standing = Standing({})
         self.ledger = Ledger(self)
 
     def wall(self) -> float:
