Work within a guarantee waits two reports at most for others to end

Cause: once no aim could be met any more, an array waited as long as one run of its own tasks: a team guaranteed 200 CPUs got none of them in 90 s while guests ran endless tasks. Change: its patience is two reports, whatever it runs for.

--- a/sagecove/coordination/stopping.py
+++ b/sagecove/coordination/stopping.py
@@ -15,6 +15,8 @@
 # A task that has run for so many times what was expected will run on for half as long again as it
 # has: nothing better is known of it.
 OUTRUN = 1.5
+# Work within a guarantee has its room after so many reports.
+GUARANTEE_REPORTS = 2.0
 
 
 class Expecting(Protocol):
@@ -64,11 +66,9 @@
 
     def __init__(self, owner: Weighing) -> None:
         self.owner = owner
-        aims = owner.settings.params.objectives
-        # By when work within a guarantee should have started.
-        self.guarantee_s = max(
-            (a.within_s or 0.0 for a in aims if a.kind == "guarantee"), default=0
-        )
+        # How long work within a guarantee may wait for others to end: two reports, in which
+        # machines tell what came free. Not longer for an aim that allows it.
+        self.guarantee_s = GUARANTEE_REPORTS * owner.settings.params.workers.report_s
 
     def rank(self, job: JobRun) -> tuple[object, ...]:
         """Jobs with this in common may stop the same tasks."""
@@ -80,15 +80,17 @@
     def patience(self, job: JobRun) -> float:
         """How long a job's tasks may wait for others to end (seconds). An array is through hardly
         later if each of its tasks waits for at most one run, unless that costs it an aim that it
-        can still meet."""
+        can still meet; and one within its team's guarantee need not wait on other teams."""
         if not job.array:
             return 0.0
         owner = self.owner
         run = owner.learning.expected(job)
         age = owner.wall() - job.at
         left = run
-        if job.within and (early := self.guarantee_s - age - owner.claims.poll_s) > 0:
-            left = early
+        if job.within:
+            # Against waiting for as long as one's own tasks run: an array of endless tasks waited
+            # without end for the guests that held its team's guarantee.
+            left = self.guarantee_s - age - owner.claims.poll_s
         for due in owner.learning.dues(job):
             if age + run <= due:
                 left = min(left, due - age - run)
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -88,6 +88,7 @@
 def test_an_array_waits_for_tasks_that_end_as_soon_as_its_own_would() -> None:
     # Within its guarantee it stopped others' tasks by the hundred, seconds before they ended.
     world = full(reckonS=6.0)
+    world.run(4.5)
     world.submit("n0", job(2, hands=8, reckonS=12.0))
     world.until(lambda: len(world.completed) == 16, 90)
     assert stops(world) == 0
