--- a/sagecove/sweeps/decisions.py
+++ b/sagecove/sweeps/decisions.py
@@ -10,6 +10,7 @@
 import logging
 from collections import OrderedDict
 from collections.abc import Iterable
+from math import inf
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -107,6 +108,9 @@
         if sweep is None:
             return
         self.owner.jobs_changed = True
+        for job in self.made.get(sweep_id, {}).values():
+            # Their own cancellations follow a few at a time: until then they were still started.
+            job.hold_until = inf
         for job in [j for j in self.owner.jobs.values() if self._of(j.home, sweep)]:
             self.owner.job_over(job)
         for block in sweep.blocks.values():
