Room made for a job is kept for it; claims ahead and retries do not hold up a guarantee

Causes, found in the in-memory world: an array within its guarantee claimed ahead what waited a whole run of its own tasks; room made for one team was taken by another of equal standing; room that could be made was counted twice for what is claimed and not placed, and once a machine; beaten controllers came back all at once, or looked further down where there was nothing.

--- a/sagecove/coordination/claims/competing.py
+++ b/sagecove/coordination/claims/competing.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 from sagecove.coordination.claims.ground import Ground
 from sagecove.coordination.claims.making import Making
-from sagecove.coordination.model import JobRun, Machine, Shard
+from sagecove.coordination.model import JobRun, Machine, Shard, standing
 from sagecove.coordination.placement import (
     Room,
     plan,
@@ -26,6 +27,8 @@
 
 # The paper's batchSize bounds what one poll claims; here: claims under way at one time.
 BATCH = 4
+# Controllers that were beaten to a record come back one after the other, so many in a poll.
+TURNS = 12
 # Tasks of an array for which a share of its team's limit is asked at one time.
 ASK_MOST = 200
 
@@ -43,6 +46,8 @@
         self.open_claims = 0
         # Share of claims that came second lately.
         self.beaten = 0.0
+        # Jobs of the pass that wait to be claimed, by standing.
+        self.crowd: dict[tuple[bool, bool, int], int] = {}
 
     def ahead(self, job: JobRun) -> int:
         """How many tasks of an array will find room soon, as those that run here come to an end.
@@ -54,6 +59,11 @@
         if len(job.placed) * share < 1:
             return 0
         begun = self.owner.now - 2 * run - self.ahead_s
+        if job.within:
+            # Tasks that were started together end together: claimed ahead by what ends on average,
+            # the last of a guarantee waited here for a whole run, while others held what was owed.
+            ending = self.owner.now + self.ahead_s - run
+            return sum(begun <= p.started_at <= ending for p in job.placed.values())
         # They stand in the order of their starts, and few have run for so long.
         old = 0
         for placement in job.placed.values():
@@ -96,12 +106,13 @@
         bits = job.unclaimed
         if not bits or (job.whole and bits != job.every & ~job.fin):
             return
-        if job.array and self._leave_to_others():
+        if job.array and self._leave_to_others(job):
             return
         wanted = bits.bit_count()
         count = 0
         if not self.ground.futile.known(job):
             count = self.fitting(job, shard.name, machines, promised)
+        planned = count
         # Of a small array the others should find something, too.
         ahead = min(self.ahead(job), wanted // len(owner.settings.nodes))
         ahead -= job.placeable(shard.name).bit_count()
@@ -125,11 +136,17 @@
             self._ask(now, shard.name, job, machines, promised)
             return
         if count < wanted:
-            self._ask(now, shard.name, job, machines, promised)
+            self._ask(now, shard.name, job, machines, promised, min(count, planned))
         self.claim(job, shard, taskset.lowest(bits, count))
 
     def _ask(
-        self, now: float, shard: str, job: JobRun, machines: list[Machine], promised: Room
+        self,
+        now: float,
+        shard: str,
+        job: JobRun,
+        machines: list[Machine],
+        promised: Room,
+        planned: int = 0,
     ) -> None:
         """Ask for more of the team's limit, if that is what keeps tasks from room there is here, or
         that could be made."""
@@ -137,20 +154,29 @@
         able = self.owner.limits.claimable(shard, job.spec, wanted)
         if able >= wanted or job.blamed or not self.ground.making:
             return
-        # What fits without it has been planned for.
-        lacking = wanted if job.whole else min(wanted - able, ASK_MOST)
-        found = room_for(job, machines, promised, lacking)
-        if found < lacking:
-            found += self.making.could_make(job, lacking - found, promised)
-        if found and (found >= wanted or not job.whole):
-            count = wanted if job.whole else able + found
-            self.owner.limits.want(now, shard, job, count)
-
-    def _leave_to_others(self) -> bool:
+        most = wanted if job.whole else min(wanted, ASK_MOST)
+        found = planned + room_for(job, machines, promised, most - planned)
+        if found < most:
+            found += self.making.could_make(job, most - found, promised)
+        if found > able and (found >= wanted or not job.whole):
+            self.owner.limits.want(now, shard, job, found)
+
+    def note_crowd(self, jobs: list[JobRun]) -> None:
+        """Jobs of a pass: how many wait to be claimed, by their standing."""
+        self.crowd.clear()
+        for job in jobs:
+            if job.unclaimed:
+                key = standing(job)
+                self.crowd[key] = self.crowd.get(key, 0) + 1
+
+    def _leave_to_others(self, job: JobRun) -> bool:
         """Of a long backlog all controllers would reach for the same few jobs, the first
         in the order, and with five of them four were always beaten: 8 jobs a second claimed by
         all together, with a thousand machines idle. Who is beaten looks further down, by chance,
-        the more the more often; who is not keeps to the order."""
+        the more the more often; who is not keeps to the order. Not where there is nothing further
+        down that comes as soon: one job that fills a guarantee was claimed bit by bit."""
+        if self.crowd.get(standing(job), 0) <= 1:
+            return False
         nodes = len(self.owner.settings.nodes)
         return self.owner.random.random() < self.beaten * (1 - 1 / nodes)
 
@@ -204,11 +230,21 @@
                 return
             owner.count("claim_conflicts")
             owner.sync.want_sync()
-            job.claim_after = owner.now + owner.random.uniform(0.1, 1.0) * self.ground.poll_s
+            if beaten and job.array:
+                job.claim_after = owner.now + self._turn(job) * self.ground.poll_s / TURNS
+            else:
+                job.claim_after = owner.now + owner.random.uniform(0.1, 1.0) * self.ground.poll_s
 
         conditions += [(JOB + job.id, job.stamp), (HOLDER + shard.name, shard.term)]
         owner.commit(conditions, changes, done)
 
+    def _turn(self, job: JobRun) -> float:
+        """When to come back to a job's record: those who were beaten to it come one after the
+        other, in an order drawn by the job, not all at once again."""
+        nodes = sorted(self.owner.settings.nodes, key=lambda n: crc32(f"{job.id} {n}".encode()))
+        turn = nodes.index(self.owner.settings.node)
+        return turn + self.owner.random.uniform(0.5, 1.0)
+
     def claim_changes(
         self, shard: Shard, job: JobRun, bits: int
     ) -> tuple[list[wire.Put | wire.Drop], list[tuple[str, int]]] | None:
--- a/sagecove/coordination/claims/ground.py
+++ b/sagecove/coordination/claims/ground.py
@@ -31,6 +31,11 @@
         self.withheld: dict[str, JobRun] = {}
         # Per team: CPUs and GPUs of jobs that wait to be claimed as a whole.
         self.held_back: dict[str, list[float]] = {}
+        # Jobs whose reserved room is kept from others of their standing in this pass.
+        self.kept: set[str] = set()
+        # CPUs for claims of this pass that have neither a place nor room under way: what could be
+        # made for others is less by these, or the same room is claimed twice.
+        self.pledged = 0.0
         self.futile = Futile()
         self.futile_making = Futile()
         # Jobs that have tasks running in the shard at hand: what may be stopped at all.
--- a/sagecove/coordination/claims/making.py
+++ b/sagecove/coordination/claims/making.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import ceil
 from typing import TYPE_CHECKING
 
 from sagecove.coordination.claims.ground import Ground
@@ -198,6 +199,7 @@
         count -= self.ground.coming(job)
         if count <= 0:
             return 0
+        count += ceil(self.ground.pledged / max(spec.cpus, 0.1))
         yielding = self.ground.yielding(job)
         free = self.owner.ledger.free(self.ground.around) if job.whole else []
         for machine in self.ground.candidates(job, free):
@@ -209,14 +211,17 @@
             cpus, gpus, memory = room_of(machine, promised)
             if more is not None:
                 cpus, gpus, memory = cpus + more[0], gpus + more[1], memory + more[2]
-            if slots(spec, (cpus, gpus, memory)) >= 1:
+            fitting = slots(spec, (cpus, gpus, memory))
+            if fitting >= 1:
                 if spec.one_zone and zones and machine.record.zone not in zones:
                     continue
                 zones.add(machine.record.zone)
-                making += 1
+                # Of an array one claim takes all that a machine can give, or nine controllers
+                # compete for the job's record many times over.
+                making += min(fitting, count - making) if job.array else 1
         if not making:
             self.ground.futile_making.add(job, rank)
-        return making
+        return max(0, making - ceil(self.ground.pledged / max(spec.cpus, 0.1)))
 
 
 def _last(p: Placement) -> tuple[bool, bool, int, float]:
--- a/sagecove/coordination/claims/passes.py
+++ b/sagecove/coordination/claims/passes.py
@@ -16,10 +16,11 @@
 from sagecove.coordination.claims.placing import Placing
 from sagecove.coordination.claims.releasing import Releasing
 from sagecove.coordination.claims.results import Results
-from sagecove.coordination.model import EPS, JobRun, Machine, Shard, precedence
+from sagecove.coordination.model import EPS, JobRun, Machine, Shard, precedence, standing
 from sagecove.coordination.placement import (
     Futile,
     Room,
+    keep_reserved,
 )
 
 if TYPE_CHECKING:
@@ -88,7 +89,15 @@
             jobs = sorted(ordered + rested, key=precedence) if rested else ordered
             if there and any(job.home is not None for job in jobs):
                 jobs = self._alike(now, shard, jobs, promised)
+            self.ground.kept.clear()
+            self.ground.pledged = 0.0
+            self.competing.note_crowd(jobs)
+            reserved = [job for job in jobs if job.reserved]
+            order: object = None
             for job in jobs:
+                if reserved and standing(job) != order:
+                    order = standing(job)
+                    self._keep(reserved, order, promised)
                 machines = steady if job.array else every
                 self.placing.place(now, shard, machines, job, promised)
                 if there:
@@ -96,6 +105,15 @@
                 if not job.array and job.unclaimed and job.claiming is None:
                     self.making.hold_back(now, shard, job)
 
+    def _keep(self, jobs: list[JobRun], order: object, promised: Room) -> None:
+        """Room that was made for one job is not there for another of its standing: ten teams that
+        claimed their guarantees at once took it from one another, and the last waited until what
+        was reserved for it had lapsed."""
+        for job in jobs:
+            if standing(job) == order:
+                keep_reserved(promised, job)
+                self.ground.kept.add(job.id)
+
     def _open(self, shards: list[Shard]) -> list[JobRun]:
         """The active jobs that a pass may have to do something for, in order. Most jobs are
         through with placing, and at thousands of tasks looking at each of them is what a pass
--- a/sagecove/coordination/claims/placing.py
+++ b/sagecove/coordination/claims/placing.py
@@ -51,12 +51,16 @@
         """Place claimed tasks; make room for them; release those that find none."""
         owner = self.owner
         name = shard.name
+        if job.id in self.ground.kept:
+            # Kept from others of its standing; its own to take.
+            keep_reserved(promised, job, -1)
         bits = job.placeable(name)
         if not bits:
             job.stuck_at.pop(name, None)
             self._unreserve(job, name)
             return
         if now < job.hold_until or (job.gang and job.placed):
+            keep_reserved(promised, job)
             return
         spec = job.spec
         wanted = bits.bit_count()
@@ -99,15 +103,14 @@
             self.making.add_held(job, left)
         if now > job.reserved_until:
             job.reserved.clear()
-        for _, machine in planned:
-            if job.reserved.get(machine.name, 0) > 0:
-                job.reserved[machine.name] -= 1
-        making = sum(job.reserved.values())
+        making = self._still_made(job, left, [machine for _, machine in planned])
         keep_reserved(promised, job)
         if len(indexes) - len(planned) > making and self.ground.making and not job.blamed:
             making += self.making.make_room(
                 now, job, len(indexes) - len(planned) - making, machines, promised
             )
+        if not job.blamed:
+            self.ground.pledged += max(0, left - making) * spec.cpus
         since = job.stuck_at.setdefault(name, now)
         if (
             not self.ground.making
@@ -118,6 +121,23 @@
             return
         self.releasing.release(now, job, shard)
 
+    @staticmethod
+    def _still_made(job: JobRun, left: int, taken: list[Machine]) -> int:
+        """For how many of its tasks room is still being made: not where it has been taken, and not
+        for more than are without a place."""
+        for machine in taken:
+            if job.reserved.get(machine.name, 0) > 0:
+                job.reserved[machine.name] -= 1
+        making = 0
+        for name in list(job.reserved):
+            count = min(job.reserved[name], left - making)
+            if count > 0:
+                job.reserved[name] = count
+                making += count
+            else:
+                del job.reserved[name]
+        return making
+
     def _start(self, now: float, job: JobRun, index: int, machine: Machine, attempt: int) -> None:
         owner = self.owner
         task = f"{job.id}/{index}"
--- a/sagecove/coordination/limits/limits.py
+++ b/sagecove/coordination/limits/limits.py
@@ -209,11 +209,11 @@
             account = self.accounts[want.team]
             shard = shards.get(want.shard)
             lacks = not within(want.target, account.share(want.shard))
-            if shard is not None and account.settled and lacks:
-                if want.shard not in account.pending:
-                    row = account.giving(want.shard, {})
-                    row.want = want
-                    self.rows.put(want.team, shard, row)
+            free = account.settled and want.shard not in account.pending
+            if shard is not None and free and lacks:
+                row = account.giving(want.shard, {})
+                row.want = want
+                self.rows.put(want.team, shard, row)
 
     def _give(self, team: str, acting: list[Shard], wants: list[Want]) -> None:
         account = self.accounts[team]
--- a/sagecove/coordination/limits/rows.py
+++ b/sagecove/coordination/limits/rows.py
@@ -1,4 +1,4 @@
-"""The rows of shards held here: written under the holder's term, and obeyed from the decision on."""
+"""The rows of shards held here: written under its term, and obeyed from the decision on."""
 
 from __future__ import annotations
 
--- a/sagecove/coordination/placement.py
+++ b/sagecove/coordination/placement.py
@@ -133,10 +133,11 @@
     held[2] += spec.memory_gb * count
 
 
-def keep_reserved(promised: Room, job: JobRun) -> None:
-    """What others were stopped for stays kept for the job they were stopped for."""
+def keep_reserved(promised: Room, job: JobRun, sign: int = 1) -> None:
+    """What others were stopped for stays kept for the job they were stopped for (or, with -1, is
+    there for it)."""
     for name, count in job.reserved.items():
-        promise(promised, name, job.spec, count)
+        promise(promised, name, job.spec, sign * count)
 
 
 def rank(job: JobRun, machine: Machine) -> tuple[int, int, int]:
