Who waits for GPUs keeps no CPUs from its team; what may not be claimed is not wanted

Cause, found by a story of short CPUs and GPUs: gangs that waited for GPUs held back their team's arrays from CPUs that nobody used, and the arrays' wants drew amounts to and fro and spoke for the shard, so that the gang's was never told. Change: an array is held back by what it takes itself; a want is told only for what may be claimed, and the next one speaks when the first has what it wants.

--- a/sagecove/coordination/claims/competing.py
+++ b/sagecove/coordination/claims/competing.py
@@ -154,6 +154,9 @@
         able = self.owner.limits.claimable(shard, job.spec, wanted)
         if able >= wanted or job.blamed or not self.ground.making:
             return
+        if not self.making.limited(job, 1):
+            # It may not have what it would be given.
+            return
         most = wanted if job.whole else min(wanted, ASK_MOST)
         found = planned + room_for(job, machines, promised, most - planned)
         if found < most:
--- a/sagecove/coordination/claims/making.py
+++ b/sagecove/coordination/claims/making.py
@@ -114,13 +114,22 @@
         held[1] += count * job.spec.gpus
         return held
 
-    def limited(self, job: JobRun, wanted: int) -> int:
-        """How many tasks of an array may be claimed or placed beside what is held back."""
+    def limited(self, job: JobRun, wanted: int, claimed: bool = False) -> int:
+        """How many tasks of an array may be claimed (or, claimed already, placed) beside what is
+        held back. Only what the array itself takes matters: gangs that wait for their team's GPUs
+        kept its arrays from CPUs that nobody used."""
         held = self.ground.held_back.get(job.spec.team)
         if held is None or not job.array:
             return wanted
-        spare = self.owner.limits.left(job.spec.team)
-        return 0 if held[0] > spare[0] or held[1] > spare[1] else wanted
+        left = self.owner.limits.left(job.spec.team)
+        for n, each in enumerate((job.spec.cpus, job.spec.gpus)):
+            if each <= 0 or held[n] <= 0:
+                continue
+            if held[n] > left[n] + EPS:
+                return 0
+            if not claimed:
+                wanted = min(wanted, int((left[n] - held[n] + EPS) / each))
+        return wanted
 
     def make_room(
         self, now: float, job: JobRun, count: int, machines: list[Machine], promised: Room
--- a/sagecove/coordination/claims/placing.py
+++ b/sagecove/coordination/claims/placing.py
@@ -64,7 +64,7 @@
             return
         spec = job.spec
         wanted = bits.bit_count()
-        allowed = self.making.limited(job, owner.limits.places(name, spec, wanted))
+        allowed = self.making.limited(job, owner.limits.places(name, spec, wanted), True)
         if allowed < wanted and not job.blamed:
             owner.limits.want(now, name, job, 0)
         indexes: list[int] = []
@@ -164,7 +164,9 @@
         """Place claimed jobs that are alike, and return those that found no place."""
         owner = self.owner
         first = jobs[0]
-        allowed = self.making.limited(first, owner.limits.places(shard.name, first.spec, len(jobs)))
+        allowed = self.making.limited(
+            first, owner.limits.places(shard.name, first.spec, len(jobs)), True
+        )
         if not allowed or self.ground.futile.known(first) or self.ground.roomy is None:
             return jobs
         planned = plan(
--- a/sagecove/coordination/limits/limits.py
+++ b/sagecove/coordination/limits/limits.py
@@ -154,7 +154,8 @@
             if need[n] and rest > limit[n] * FAR:
                 # Far from the limit in coarse steps, to save writes.
                 step[n] = rest // (2 * len(self.nodes))
-        self.wants.feel(now, team, shard, job, plus(target, (step[0], step[1])))
+        target = plus(target, (step[0], step[1]))
+        self.wants.feel(now, team, shard, job, target, self.share(shard, team))
 
     def told(self, now: float, node: str, wants: list[Want]) -> None:
         """All that a peer wants."""
--- a/sagecove/coordination/limits/wants.py
+++ b/sagecove/coordination/limits/wants.py
@@ -30,15 +30,22 @@
         # Something has changed that peers have not been told.
         self.news = False
 
-    def feel(self, now: float, team: str, shard: str, job: JobRun, target: Amount) -> None:
-        """A shard wants its share to be so much, for a job."""
+    def feel(
+        self, now: float, team: str, shard: str, job: JobRun, target: Amount, share: Amount
+    ) -> None:
+        """A shard wants its share to be so much, for a job; now it is `share`."""
         first = standing(job)
         rank = int(first[0]), int(first[1]), first[2], job.at, job.id
         want = Want(team, shard, rank, target)
         key = team, shard
         known = self.mine.get(key)
-        if known is not None and now - known[1] < self.poll_s / 2 and known[0].rank < want.rank:
-            # The job that comes first speaks for the shard.
+        if (
+            known is not None
+            and now - known[1] < self.poll_s / 2
+            and known[0].rank < want.rank
+            and not within(known[0].target, share)
+        ):
+            # The job that comes first speaks for the shard, until it has what it wants.
             return
         if known is None:
             self.since[key] = now
--- a/sagecove/lab/deployment.py
+++ b/sagecove/lab/deployment.py
@@ -48,7 +48,9 @@
 ]
 
 
-def raw_settings(node: int, nodes: int = 3, **state: Any) -> dict[str, Any]:
+def raw_settings(
+    node: int, nodes: int = 3, teams: list[dict[str, Any]] | None = None, **state: Any
+) -> dict[str, Any]:
     """The settings file of controller number `node`, as the platform would write it."""
     return {
         "node": f"n{node}",
@@ -64,7 +66,7 @@
         "cluster": {
             "size": nodes,
             "zones": ["a", "b"],
-            "teams": TEAMS,
+            "teams": TEAMS if teams is None else teams,
             "workers": {
                 "report_s": REPORT_S,
                 "lease_s": LEASE_S,
@@ -79,9 +81,11 @@
     }
 
 
-def settings(node: int, nodes: int = 3, **state: Any) -> Settings:
+def settings(
+    node: int, nodes: int = 3, teams: list[dict[str, Any]] | None = None, **state: Any
+) -> Settings:
     """Settings of controller number `node`."""
-    return msgspec.convert(raw_settings(node, nodes, **state), Settings)
+    return msgspec.convert(raw_settings(node, nodes, teams, **state), Settings)
 
 
 def job(number: int, **fields: Any) -> dict[str, Any]:
--- a/sagecove/lab/rules.py
+++ b/sagecove/lab/rules.py
@@ -33,6 +33,8 @@
         self.broken: set[str] = set()
         # What users have been told of jobs: the last state, and tasks that completed.
         self.told: dict[str, str] = {}
+        # Teams whose limits hold, and those of the settings that controllers are started with.
+        self.teams = TEAMS
         # (time, task, machine).
         self.starts: list[tuple[float, str, str]] = []
 
@@ -86,8 +88,8 @@
                     continue
                 used[spec["outfit"]] = used.get(spec["outfit"], 0.0) + spec["vcpus"]
                 self._check_cancelled(job_id)
-        for team in TEAMS:
-            if team["cpus_max"] and used.get(team["name"], 0.0) > team["cpus_max"]:
+        for team in self.teams:
+            if team["cpus_max"] and used.get(team["name"], 0.0) > team["cpus_max"] + 1e-6:
                 raise RuleBroken(f"quota {team['name']} uses {used[team['name']]} CPUs")
 
     def answered(self, job_id: str, status: int, answer: Any, *, submitted: bool) -> None:
--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -25,9 +25,18 @@
     """Controllers and stand-ins, advanced together; the rules are checked at every start."""
 
     def __init__(
-        self, nodes: int = 3, seed: int = 1, features: Any = None, audit: bool = True
+        self,
+        nodes: int = 3,
+        seed: int = 1,
+        features: Any = None,
+        audit: bool = True,
+        teams: list[dict[str, Any]] | None = None,
     ) -> None:
         super().__init__()
+        if teams is not None:
+            self.teams = teams
+        # What controllers are started with: changed, it is what those started later go by.
+        self.configured = self.teams
         self.features = features
         # Count the books anew after each batch: linear in all there is, so not where time is taken.
         self.audit = audit
@@ -112,7 +121,8 @@
     def boot_node(self, number: int) -> None:
         name = f"n{number}"
         self.owners[name] = Owner(
-            settings(number, self.nodes), Random(number + 7), self.now, self.now, self.features
+            settings(number, self.nodes, self.configured),
+            *(Random(number + 7), self.now, self.now, self.features),
         )
         self.inbox[name] = []
 
