--- /dev/null
+++ b/models/__init__.py
@@ -0,0 +1,1 @@
+"""Small explicit-state models of sagecove's protocols, searched by the tests."""
