Controllers with settings that lack a team outlive its jobs' records

Change: nothing of an unknown team is claimed, placed or wanted here; its jobs run where it is known.

--- a/sagecove/coordination/limits/limits.py
+++ b/sagecove/coordination/limits/limits.py
@@ -118,12 +118,16 @@
 
     def frozen(self, team: str) -> bool:
         """Nothing of a team starts: its limit is not split yet, or the split is of more than these
-        settings allow, and is about to be lowered."""
-        q = self.accounts[team].settlement
+        settings allow, and is about to be lowered; or they know nothing of the team: others were
+        started with later ones, and their jobs' records once ended controllers that were not."""
+        account = self.accounts.get(team)
+        q = account.settlement if account is not None else None
         return q is None or not within(q.limit, self.settling.configured[team])
 
     def left(self, team: str) -> Pair:
         """What of a team's limit nobody claims, anywhere (CPUs, GPUs)."""
+        if team not in self.teams:
+            return 0.0, 0.0
         rest = minus(self.limit(team), self.standing.total(team))
         return rest[0] / PARTS, rest[1] / PARTS
 
@@ -145,6 +149,8 @@
         claimed. What it wants is told to those who have it."""
         spec = job.spec
         team = spec.team
+        if team not in self.teams:
+            return
         need = more * parts(spec.cpus), more * parts(spec.gpus)
         target = plus(self.committed(shard, team), need)
         limit, total = self.limit(team), self.standing.total(team)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -173,6 +173,25 @@
     assert len(w.completed) > 0 and shares(w, "red") == 20_000_000
 
 
+def test_a_team_that_controllers_learn_of_one_after_the_other() -> None:
+    # Its jobs' records reached controllers whose settings did not have it, and these ended.
+    w = world(3, 9, team("red", 0, 20))
+    w.teams = w.configured = [team("red", 0, 20), team("new", 4, 12), GUESTS]
+    w.kill("n0")
+    w.boot_node(0)
+    w.run(3)
+    assert w.submit("n0", job(1, outfit="new", hands=6))[0] == 201
+    assert w.submit("n1", job(2, outfit="new", hands=6))[0] == 422
+    w.run(10)
+    for number in (1, 2):
+        w.kill(f"n{number}")
+        w.run(1)
+        w.boot_node(number)
+        w.run(3)
+    assert w.submit("n1", job(2, outfit="new", hands=6))[0] == 201
+    w.until(lambda: len(w.completed) == 12, 30)
+
+
 # -- by need -------------------------------------------------------------------------------------
 
 
