--- a/sagecove/config.py
+++ b/sagecove/config.py
@@ -141,6 +141,12 @@
         """Two steady clocks may differ by this share (twice the bound of one, from PROTOCOL)."""
         return 0.001
 
+    @property
+    def poll_s(self) -> float:
+        """The pace of claims: DESIGN's pollInterval is 1.5 s with a lease of 20 s, kept as a ratio
+        to the report pace (seconds)."""
+        return min(1.5, self.params.workers.report_s / 2)
+
     @property
     def lease_s(self) -> float:
         """Length of a controller's lease in the state service, and of a peer's promise.
--- a/sagecove/coordination/claims/competing.py
+++ b/sagecove/coordination/claims/competing.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
 from zlib import crc32
 
+from sagecove.coordination.backlog import Backlog
 from sagecove.coordination.claims.ground import Ground
 from sagecove.coordination.claims.making import Making
+from sagecove.coordination.learning import Learning
+from sagecove.coordination.ledger import Ledger
+from sagecove.coordination.limits.limits import Limits
 from sagecove.coordination.model import JobRun, Machine, Shard, standing
 from sagecove.coordination.placement import (
     Room,
@@ -17,14 +20,12 @@
     slots,
     suits,
 )
+from sagecove.coordination.ports import Desk, Syncing, Territory
 from sagecove.protocol import state as wire
 from sagecove.storage import taskset
 from sagecove.storage.records import HOLDER, JOB
 from sagecove.storage.store import Outcome, Result
 
-if TYPE_CHECKING:
-    from sagecove.coordination.owner import Owner
-
 # The paper's batchSize bounds what one poll claims; here: claims under way at one time.
 BATCH = 4
 # Controllers that were beaten to a record come back one after the other, so many in a poll.
@@ -36,8 +37,25 @@
 class Competing:
     """Claims what fits, or could be made to."""
 
-    def __init__(self, owner: Owner, ground: Ground, making: Making) -> None:
-        self.owner = owner
+    def __init__(
+        self,
+        desk: Desk,
+        ground: Ground,
+        making: Making,
+        ledger: Ledger,
+        limits: Limits,
+        backlog: Backlog,
+        learning: Learning,
+        shards: Territory,
+        sync: Syncing,
+    ) -> None:
+        self.desk = desk
+        self.ledger = ledger
+        self.limits = limits
+        self.backlog = backlog
+        self.learning = learning
+        self.shards = shards
+        self.sync = sync
         self.ground = ground
         self.making = making
         # DESIGN's fetchAhead, 4 s beside a poll of 1.5 s: short tasks are claimed before there is
@@ -54,15 +72,15 @@
         Estimates may be far too low: what has run for longer than that does not count."""
         if not job.array or job.blamed or not job.placed:
             return 0
-        run = job.spec.estimate_s * self.owner.learning.class_run.get(job.spec.klass, 1.0)
+        run = job.spec.estimate_s * self.learning.class_run.get(job.spec.klass, 1.0)
         share = min(1.0, self.ahead_s / max(run, self.ground.poll_s))
         if len(job.placed) * share < 1:
             return 0
-        begun = self.owner.now - 2 * run - self.ahead_s
+        begun = self.desk.now - 2 * run - self.ahead_s
         if job.within:
             # Tasks that were started together end together: claimed ahead by what ends on average,
             # the last of a guarantee waited here for a whole run, while others held what was owed.
-            ending = self.owner.now + self.ahead_s - run
+            ending = self.desk.now + self.ahead_s - run
             return sum(begun <= p.started_at <= ending for p in job.placed.values())
         # They stand in the order of their starts, and few have run for so long.
         old = 0
@@ -75,7 +93,7 @@
     def fitting(self, job: JobRun, shard: str, machines: list[Machine], promised: Room) -> int:
         """How many unclaimed tasks fit this shard's free room; they are added to `promised`."""
         bits = job.unclaimed
-        wanted = self.owner.limits.claimable(shard, job.spec, bits.bit_count())
+        wanted = self.limits.claimable(shard, job.spec, bits.bit_count())
         wanted = self.making.limited(job, wanted)
         if job.whole and wanted < bits.bit_count():
             return 0
@@ -85,7 +103,7 @@
         if self.ground.roomy is not None and job.array:
             machines = self.ground.roomy
         count = len(
-            plan(job, indexes, machines, self.owner.random, promised, False, self.ground.withheld)
+            plan(job, indexes, machines, self.desk.random, promised, False, self.ground.withheld)
         )
         if count < len(indexes) and not job.gang:
             self.ground.futile.add(job)
@@ -94,10 +112,9 @@
     def compete(
         self, now: float, shard: Shard, machines: list[Machine], job: JobRun, promised: Room
     ) -> None:
-        owner = self.owner
         if job.claiming is not None and job.claiming[0] == shard.name:
             indexes = list(taskset.members(taskset.lowest(job.claiming[1], 1000)))
-            plan(job, indexes, machines, owner.random, promised)
+            plan(job, indexes, machines, self.desk.random, promised)
             return
         if self.open_claims >= BATCH and job.home is None:
             return
@@ -114,11 +131,11 @@
             count = self.fitting(job, shard.name, machines, promised)
         planned = count
         # Of a small array the others should find something, too.
-        ahead = min(self.ahead(job), wanted // len(owner.settings.nodes))
+        ahead = min(self.ahead(job), wanted // len(self.desk.settings.nodes))
         ahead -= job.placeable(shard.name).bit_count()
         if ahead > 0 and not job.whole:
             count = self.making.limited(
-                job, owner.limits.claimable(shard.name, job.spec, min(wanted, count + ahead))
+                job, self.limits.claimable(shard.name, job.spec, min(wanted, count + ahead))
             )
         if job.whole and count < wanted and not job.gang and now - job.seen_at > self.ground.poll_s:
             # A service that must be decided in one place starts with what there is.
@@ -127,7 +144,7 @@
             # One task is enough to see; and nothing is stopped for it.
             count = min(count, wanted if job.whole else 1)
         elif self.ground.making and count < wanted and now - job.seen_at > self.ground.poll_s / 3:
-            able = self.making.limited(job, owner.limits.claimable(shard.name, job.spec, wanted))
+            able = self.making.limited(job, self.limits.claimable(shard.name, job.spec, wanted))
             if able > count:
                 count += self.making.could_make(job, able - count, promised)
         if not count or (job.whole and count < wanted):
@@ -151,7 +168,7 @@
         """Ask for more of the team's limit, if that is what keeps tasks from room there is here, or
         that could be made."""
         wanted = job.unclaimed.bit_count()
-        able = self.owner.limits.claimable(shard, job.spec, wanted)
+        able = self.limits.claimable(shard, job.spec, wanted)
         if able >= wanted or job.blamed or not self.ground.making:
             return
         if not self.making.limited(job, 1):
@@ -162,7 +179,7 @@
         if found < most:
             found += self.making.could_make(job, most - found, promised)
         if found > able and (found >= wanted or not job.whole):
-            self.owner.limits.want(now, shard, job, found)
+            self.limits.want(now, shard, job, found)
 
     def note_crowd(self, jobs: list[JobRun]) -> None:
         """Jobs of a pass: how many wait to be claimed, by their standing."""
@@ -180,8 +197,8 @@
         down that comes as soon: one job that fills a guarantee was claimed bit by bit."""
         if self.crowd.get(standing(job), 0) <= 1:
             return False
-        nodes = len(self.owner.settings.nodes)
-        return self.owner.random.random() < self.beaten * (1 - 1 / nodes)
+        nodes = len(self.desk.settings.nodes)
+        return self.desk.random.random() < self.beaten * (1 - 1 / nodes)
 
     def _gather(
         self, job: JobRun, shard: Shard, count: int, machines: list[Machine], promised: Room
@@ -189,9 +206,8 @@
         """A gang of whole machines does not fit yet. Smaller ones may go ahead of it for as long as
         its own machines take to boot; from then on what is free where it is served waits for it,
         or it might never find its number."""
-        owner = self.owner
-        boot = max((t.boot_s for t in owner.types.values()), default=0.0)
-        if owner.now - job.seen_at < 1.5 * boot or owner.shards.gang_home(job) != shard.name:
+        boot = max((t.boot_s for t in self.desk.types.values()), default=0.0)
+        if self.desk.now - job.seen_at < 1.5 * boot or self.shards.gang_home(job) != shard.name:
             return
         for machine in machines:
             if count <= 0:
@@ -202,51 +218,52 @@
 
     def claim(self, job: JobRun, shard: Shard, bits: int) -> None:
         """Claim tasks for a shard, together with the allotment they need."""
-        owner = self.owner
         if job.home is not None:
             job.committing = True
             job.claiming = (shard.name, bits)
-            owner.backlog.settle(job)
-            owner.ledger.claims(job)
+            self.backlog.settle(job)
+            self.ledger.claims(job)
             job.home.claim(job, shard, bits)
             return
         made = self.claim_changes(shard, job, bits)
         if made is None:
-            job.claim_after = owner.now + self.ground.poll_s / 2
+            job.claim_after = self.desk.now + self.ground.poll_s / 2
             return
         changes, conditions = made
         self.open_claims += 1
         job.committing = True
         job.claiming = (shard.name, bits)
-        owner.backlog.settle(job)
-        owner.ledger.claims(job)
+        self.backlog.settle(job)
+        self.ledger.claims(job)
 
         def done(result: Result) -> None:
             job.committing = False
             job.claiming = None
-            owner.ledger.claims(job)
+            self.ledger.claims(job)
             self.open_claims -= 1
-            owner.dirty = True
+            self.desk.dirty = True
             beaten = result.outcome is Outcome.CONFLICT and JOB + job.id in result.failed
             self.beaten += (float(beaten) - self.beaten) / (2 * BATCH)
             if result.outcome is Outcome.DONE:
                 return
-            owner.count("claim_conflicts")
-            owner.sync.want_sync()
+            self.desk.count("claim_conflicts")
+            self.sync.want_sync()
             if beaten and job.array:
-                job.claim_after = owner.now + self._turn(job) * self.ground.poll_s / TURNS
+                job.claim_after = self.desk.now + self._turn(job) * self.ground.poll_s / TURNS
             else:
-                job.claim_after = owner.now + owner.random.uniform(0.1, 1.0) * self.ground.poll_s
+                job.claim_after = (
+                    self.desk.now + self.desk.random.uniform(0.1, 1.0) * self.ground.poll_s
+                )
 
         conditions += [(JOB + job.id, job.stamp), (HOLDER + shard.name, shard.term)]
-        owner.commit(conditions, changes, done)
+        self.desk.commit(conditions, changes, done)
 
     def _turn(self, job: JobRun) -> float:
         """When to come back to a job's record: those who were beaten to it come one after the
         other, in an order drawn by the job, not all at once again."""
-        nodes = sorted(self.owner.settings.nodes, key=lambda n: crc32(f"{job.id} {n}".encode()))
-        turn = nodes.index(self.owner.settings.node)
-        return turn + self.owner.random.uniform(0.5, 1.0)
+        nodes = sorted(self.desk.settings.nodes, key=lambda n: crc32(f"{job.id} {n}".encode()))
+        turn = nodes.index(self.desk.settings.node)
+        return turn + self.desk.random.uniform(0.5, 1.0)
 
     def claim_changes(
         self, shard: Shard, job: JobRun, bits: int
@@ -254,7 +271,7 @@
         """Changes and conditions of a claim; None where the shard's share of its team's limit
         stands against it."""
         count = bits.bit_count()
-        if self.owner.limits.claimable(shard.name, job.spec, count) < count:
+        if self.limits.claimable(shard.name, job.spec, count) < count:
             return None
         claims = dict(job.claims)
         claims[shard.name] = claims.get(shard.name, 0) | bits
@@ -265,7 +282,7 @@
     ) -> list[JobRun]:
         """Claim as many of the jobs that are alike as fit, and return the others."""
         first = jobs[0]
-        wanted = self.owner.limits.claimable(shard.name, first.spec, len(jobs))
+        wanted = self.limits.claimable(shard.name, first.spec, len(jobs))
         wanted = self.making.limited(first, wanted)
         if not wanted or self.ground.futile.known(first) or self.ground.roomy is None:
             return jobs
@@ -274,7 +291,7 @@
                 first,
                 list(range(wanted)),
                 self.ground.roomy,
-                self.owner.random,
+                self.desk.random,
                 promised,
                 False,
                 self.ground.withheld,
--- a/sagecove/coordination/claims/ground.py
+++ b/sagecove/coordination/claims/ground.py
@@ -3,25 +3,24 @@
 from __future__ import annotations
 
 from bisect import bisect_right
-from typing import TYPE_CHECKING
 
+from sagecove.coordination.ledger import Ledger
 from sagecove.coordination.model import JobRun, Machine
 from sagecove.coordination.placement import (
     Futile,
 )
-from sagecove.coordination.stopping import largest_victim, may_stop, need
-
-if TYPE_CHECKING:
-    from sagecove.coordination.owner import Owner
+from sagecove.coordination.ports import Desk
+from sagecove.coordination.stopping import Stopping, largest_victim, may_stop, need
 
 
 class Ground:
     """What a pass knows of the shard it looks at; noted anew for each."""
 
-    def __init__(self, owner: Owner) -> None:
-        self.owner = owner
-        # DESIGN's pollInterval is 1.5 s with a lease of 20 s: kept as a ratio to the report pace.
-        self.poll_s = min(1.5, owner.settings.params.workers.report_s / 2)
+    def __init__(self, desk: Desk, ledger: Ledger, stopping: Stopping) -> None:
+        self.desk = desk
+        self.ledger = ledger
+        self.stopping = stopping
+        self.poll_s = desk.settings.poll_s
         # When room may be made again.
         self.make_at = 0.0
         self.making = False
@@ -51,7 +50,7 @@
         team, where teams matter): what there is to be stopped at all."""
         seen: dict[tuple[object, ...], JobRun] = {}
         sizes: set[float] = set()
-        for job in self.owner.ledger.running(shard):
+        for job in self.ledger.running(shard):
             key = (job.priority, job.within, "" if job.within else job.spec.team)
             if key not in seen or job.spec.cpus < seen[key].spec.cpus:
                 seen[key] = job
@@ -76,15 +75,15 @@
     def _room_of_others(self, job: JobRun) -> tuple[dict[str, list[float]], float]:
         """The room `yielding` tells, and the CPUs of tasks that end soon enough by themselves. Many
         jobs have the same rights, so both are found once a pass for all of them."""
-        stopping = self.owner.stopping
+        stopping = self.stopping
         key = (*stopping.rank(job), bisect_right(self.sizes, largest_victim(job)))
         known = self.yields.get(key)
         if known is not None:
             return known
         patience = stopping.patience(job)
-        going = self.owner.ledger.stopping(self.around)
+        going = self.ledger.stopping(self.around)
         ending = 0.0
-        for other in self.owner.ledger.running(self.around):
+        for other in self.ledger.running(self.around):
             if not may_stop(job, other):
                 continue
             here = [
@@ -106,8 +105,7 @@
 
     def candidates(self, job: JobRun, machines: list[Machine]) -> list[Machine]:
         """Machines with room, and those on which tasks may be stopped for a job, by name."""
-        owner = self.owner
         names = {m.name for m in machines} | self.yielding(job).keys()
         if job.array:
-            names = {n for n in names if owner.now >= owner.machines[n].drain_until}
-        return [owner.machines[name] for name in sorted(names)]
+            names = {n for n in names if self.desk.now >= self.desk.machines[n].drain_until}
+        return [self.desk.machines[name] for name in sorted(names)]
--- a/sagecove/coordination/claims/making.py
+++ b/sagecove/coordination/claims/making.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from math import ceil
-from typing import TYPE_CHECKING
 
 from sagecove.coordination.claims.ground import Ground
+from sagecove.coordination.ledger import Ledger
+from sagecove.coordination.limits.limits import Limits
 from sagecove.coordination.model import EPS, JobRun, Machine, Placement, Shard, standing
 from sagecove.coordination.placement import (
     Room,
@@ -17,17 +18,27 @@
     suits,
     zone_counts,
 )
-from sagecove.coordination.stopping import may_stop, need
-
-if TYPE_CHECKING:
-    from sagecove.coordination.owner import Owner
+from sagecove.coordination.ports import Desk, Halting
+from sagecove.coordination.stopping import Stopping, may_stop, need
 
 
 class Making:
     """Makes room, or says how much could be made."""
 
-    def __init__(self, owner: Owner, ground: Ground) -> None:
-        self.owner = owner
+    def __init__(
+        self,
+        desk: Desk,
+        ground: Ground,
+        ledger: Ledger,
+        limits: Limits,
+        stopping: Stopping,
+        workers: Halting,
+    ) -> None:
+        self.desk = desk
+        self.ledger = ledger
+        self.limits = limits
+        self.stopping = stopping
+        self.workers = workers
         self.ground = ground
 
     def withhold(
@@ -61,14 +72,13 @@
             or now < job.trim_after
         ):
             return
-        owner = self.owner
-        spare = owner.limits.left(spec.team)
-        lack = max(held[0] - spare[0], 0.0) / len(owner.settings.nodes)
+        spare = self.limits.left(spec.team)
+        lack = max(held[0] - spare[0], 0.0) / len(self.desk.settings.nodes)
         if lack <= 0:
             return
         victims = [
             p
-            for other in owner.ledger.running(shard.name)
+            for other in self.ledger.running(shard.name)
             if other.array and other.spec.team == spec.team and other.priority < job.priority
             for p in other.placed.values()
             if p.live and p.halt is None and p.machine.record.shard == shard.name
@@ -80,15 +90,14 @@
             assert p.job is not None
             lack -= p.job.spec.cpus
             job.trim_after = now + 4 * self.ground.poll_s
-            owner.workers.halt(p, p.job.grace_s, job.id)
+            self.workers.halt(p, p.job.grace_s, job.id)
 
     def keep_limit(self, shard: str) -> None:
         """A limit was lowered below what runs: the last started of the lowest standing stops."""
-        owner = self.owner
-        for team, (cpus, gpus) in owner.limits.excess(shard).items():
+        for team, (cpus, gpus) in self.limits.excess(shard).items():
             running = [
                 p
-                for other in owner.ledger.running(shard)
+                for other in self.ledger.running(shard)
                 if other.spec.team == team
                 for p in other.placed.values()
                 if p.live and p.machine.record.shard == shard
@@ -105,7 +114,7 @@
                 over[0] -= p.job.spec.cpus
                 over[1] -= p.job.spec.gpus
                 if p.halt is None:
-                    owner.workers.halt(p, p.job.grace_s, "limit")
+                    self.workers.halt(p, p.job.grace_s, "limit")
 
     def add_held(self, job: JobRun, count: int) -> list[float]:
         """Hold back what tasks of a job need of its team's limit; all that its team holds back."""
@@ -121,7 +130,7 @@
         held = self.ground.held_back.get(job.spec.team)
         if held is None or not job.array:
             return wanted
-        left = self.owner.limits.left(job.spec.team)
+        left = self.limits.left(job.spec.team)
         for n, each in enumerate((job.spec.cpus, job.spec.gpus)):
             if each <= 0 or held[n] <= 0:
                 continue
@@ -137,14 +146,14 @@
         """Stop tasks that this job may displace; how many of its tasks will then fit."""
         making = 0
         spec = job.spec
-        rank = self.owner.stopping.rank(job)
+        rank = self.stopping.rank(job)
         if self.ground.futile_making.known(job, rank) or not self.ground.stoppable(job):
             return 0
         # What ends by itself is not stopped as well.
         count -= self.ground.coming(job)
         if count <= 0:
             return 0
-        patience = self.owner.stopping.patience(job)
+        patience = self.stopping.patience(job)
         candidates: list[tuple[bool, float, Machine, list[Placement]]] = []
         counts = zone_counts(job)
         for machine in self.ground.candidates(job, machines):
@@ -162,7 +171,7 @@
                     continue
                 if p.halt is not None:
                     leaving.append(p)
-                elif may_stop(job, p.job) and self.owner.stopping.worth(patience, p.job, p):
+                elif may_stop(job, p.job) and self.stopping.worth(patience, p.job, p):
                     victims.append(p)
             for p in leaving:
                 assert p.job is not None
@@ -190,18 +199,18 @@
             making += 1
             promise(promised, machine.name, spec)
             job.reserved[machine.name] = job.reserved.get(machine.name, 0) + 1
-            job.reserved_until = now + 2 * self.owner.settings.params.workers.report_s + 10.0
+            job.reserved_until = now + 2 * self.desk.settings.params.workers.report_s + 10.0
             for p in chosen:
                 assert p.job is not None
-                self.owner.stopping.stopped(p)
-                self.owner.workers.halt(p, p.job.grace_s, job.id)
+                self.stopping.stopped(p)
+                self.workers.halt(p, p.job.grace_s, job.id)
         return making
 
     def could_make(self, job: JobRun, count: int, promised: Room) -> int:
         """How many tasks would fit if others were stopped for them (nothing is stopped yet)."""
         making = 0
         spec = job.spec
-        rank = self.owner.stopping.rank(job)
+        rank = self.stopping.rank(job)
         if self.ground.futile_making.known(job, rank) or not self.ground.stoppable(job):
             return 0
         zones: set[str] = set()
@@ -210,7 +219,7 @@
             return 0
         count += ceil(self.ground.pledged / max(spec.cpus, 0.1))
         yielding = self.ground.yielding(job)
-        free = self.owner.ledger.free(self.ground.around) if job.whole else []
+        free = self.ledger.free(self.ground.around) if job.whole else []
         for machine in self.ground.candidates(job, free):
             if making >= count:
                 break
--- a/sagecove/coordination/claims/passes.py
+++ b/sagecove/coordination/claims/passes.py
@@ -8,58 +8,90 @@
 
 from collections.abc import Callable
 from itertools import groupby
-from typing import TYPE_CHECKING
 
+from sagecove.coordination.backlog import Backlog
 from sagecove.coordination.claims.competing import Competing
 from sagecove.coordination.claims.ground import Ground
 from sagecove.coordination.claims.making import Making
 from sagecove.coordination.claims.placing import Placing
 from sagecove.coordination.claims.releasing import Releasing
 from sagecove.coordination.claims.results import Results
+from sagecove.coordination.learning import Learning
+from sagecove.coordination.ledger import Ledger
+from sagecove.coordination.limits.limits import Limits
 from sagecove.coordination.model import EPS, JobRun, Machine, Shard, precedence, standing
 from sagecove.coordination.placement import (
     Futile,
     Room,
     keep_reserved,
 )
-
-if TYPE_CHECKING:
-    from sagecove.coordination.owner import Owner
+from sagecove.coordination.ports import Desk, Draining, Halting, Judge, Syncing, Territory
+from sagecove.coordination.stopping import Stopping
 
 
 class Claims:
     """Claims and placement for the shards held here."""
 
-    def __init__(self, owner: Owner) -> None:
-        self.owner = owner
-        self.ground = Ground(owner)
-        self.poll_s = self.ground.poll_s
-        self.making = Making(owner, self.ground)
-        self.releasing = Releasing(owner, self.ground)
-        self.competing = Competing(owner, self.ground, self.making)
-        self.placing = Placing(owner, self.ground, self.making, self.releasing, self.competing)
-        self.results = Results(owner)
+    def __init__(
+        self,
+        desk: Desk,
+        ledger: Ledger,
+        limits: Limits,
+        backlog: Backlog,
+        learning: Learning,
+        failures: Judge,
+        stopping: Stopping,
+        workers: Halting,
+        shards: Territory,
+        sync: Syncing,
+        peers: Draining,
+    ) -> None:
+        self.desk = desk
+        self.ledger = ledger
+        self.limits = limits
+        self.backlog = backlog
+        self.learning = learning
+        self.failures = failures
+        self.shards = shards
+        self.peers = peers
+        self.poll_s = desk.settings.poll_s
+        self.ground = Ground(desk, ledger, stopping)
+        self.making = Making(desk, self.ground, ledger, limits, stopping, workers)
+        self.releasing = Releasing(desk, self.ground, sync)
+        self.competing = Competing(
+            desk, self.ground, self.making, ledger, limits, backlog, learning, shards, sync
+        )
+        self.placing = Placing(
+            desk,
+            self.ground,
+            self.making,
+            self.releasing,
+            self.competing,
+            ledger,
+            limits,
+            workers,
+        )
+        self.results = Results(desk, backlog, workers, sync)
         # Jobs that the last pass had to look at.
         self.open_jobs = 0
 
     def run(self, now: float) -> None:
         """One pass."""
-        owner = self.owner
-        shards = [owner.held[s] for s in owner.shards.acting_shards(now)]
+        shards = [self.desk.held[s] for s in self.shards.acting_shards(now)]
         if not shards:
             return
         retries, self.releasing.retries = self.releasing.retries, []
         for job, shard, claims, bits in retries:
-            if owner.held.get(shard.name) is not shard:
+            if self.desk.held.get(shard.name) is not shard:
                 # Its term is over, so that it can't be executed any more: were the tasks kept
                 # back for it, nobody would ever place them.
                 job.releasing &= ~bits
-            elif owner.jobs.get(job.id) is job:
+            elif self.desk.jobs.get(job.id) is job:
                 self.releasing.write_release(job, shard, claims, bits)
         self.results.record(now, shards)
         self.results.gangs(now)
         ordered = self._open(shards)
-        if not ordered and not owner.backlog.groups:
+        if not ordered and not self.backlog.groups:
             return
         # Looking for tasks to stop is the costly part: not on every pass.
         self.ground.making = now >= self.ground.make_at
@@ -69,7 +101,7 @@
             self.making.keep_limit(shard.name)
             promised: Room = {}
             # What is full has room for nobody; what may be stopped there is found by its tasks.
-            every = owner.ledger.free(shard.name)
+            every = self.ledger.free(shard.name)
             # Machines to be returned take no more tasks of arrays.
             steady = [m for m in every if now >= m.drain_until]
             self.ground.futile = Futile()
@@ -78,13 +110,13 @@
                 self.ground.look_around(shard.name)
             self.ground.withheld = self.making.withhold(shard, every, ordered)
             # DESIGN: fuller machines are preferred while some await their return.
-            draining = now < owner.peers.draining.get(shard.name, -1e9)
+            draining = now < self.peers.draining.get(shard.name, -1e9)
             self.ground.packing = draining or any(not m.tasks for m in every)
             # One order for what is claimed and what is not: else the room for a claim that is
             # under way would go to whoever comes after it.
             self.ground.held_back = {}
-            there = bool(owner.by_shard.get(shard.name))
-            rested = self._rested(now, shard, every) if there and owner.backlog.groups else []
+            there = bool(self.desk.by_shard.get(shard.name))
+            rested = self._rested(now, shard, every) if there and self.backlog.groups else []
             self.ground.roomy = roomy(steady, ordered + rested)
             jobs = sorted(ordered + rested, key=precedence) if rested else ordered
             if there and any(job.home is not None for job in jobs):
@@ -118,15 +150,14 @@
         """The active jobs that a pass may have to do something for, in order. Most jobs are
         through with placing, and at thousands of tasks looking at each of them is what a pass
         would cost."""
-        owner = self.owner
         names = [shard.name for shard in shards]
         found = []
-        for job in list(owner.backlog.open.values()):
-            if owner.backlog.through(job, names):
-                del owner.backlog.open[job.id]
+        for job in list(self.backlog.open.values()):
+            if self.backlog.through(job, names):
+                del self.backlog.open[job.id]
                 job.lacking_since = None
                 continue
-            if owner.failures.suspect(job) and not self._may_probe(job):
+            if self.failures.suspect(job) and not self._may_probe(job):
                 # Fails wherever it runs: until its next try it costs nobody anything.
                 continue
             if not (
@@ -138,26 +169,25 @@
                 or any(job.placeable(name) for name in names)
             ):
                 if job.array:
-                    owner.learning.rank(job)
+                    self.learning.rank(job)
                 elif job.service:
-                    owner.learning.settle(job)
+                    self.learning.settle(job)
                 found.append(job)
             else:
                 job.lacking_since = None
-        self.open_jobs = len(found) + owner.backlog.resting
+        self.open_jobs = len(found) + self.backlog.resting
         found.sort(key=precedence)
         return found
 
     def _rested(self, now: float, shard: Shard, machines: list[Machine]) -> list[JobRun]:
         """Resting jobs that a shard may be able to claim tasks of: the first of each group for one
         of which there may be room. Room only shrinks in a pass, so what has none now has none."""
-        owner = self.owner
         most = [0.0, 0.0, 0.0]
         for machine in machines:
             for n, amount in enumerate(machine.free()):
                 most[n] = max(most[n], amount)
         out: list[JobRun] = []
-        for group in owner.backlog.groups.values():
+        for group in self.backlog.groups.values():
             job = group.any()
             spec = job.spec
             fits = (
@@ -167,19 +197,19 @@
             )
             if not fits and not (self.ground.making and self.ground.stoppable(job)):
                 continue
-            if owner.limits.claimable(shard.name, spec, 1):
-                out += owner.backlog.first(group, now)
+            if self.limits.claimable(shard.name, spec, 1):
+                out += self.backlog.first(group, now)
             elif self.ground.making and not self.making.limited(job, 1):
                 continue
-            elif self.ground.making and (first := next(owner.backlog.first(group, now, 1), None)):
+            elif self.ground.making and (first := next(self.backlog.first(group, now, 1), None)):
                 # Its share of the limit is all that it lacks here.
-                owner.limits.want(now, shard.name, first, 1)
+                self.limits.want(now, shard.name, first, 1)
         return out
 
     def _may_probe(self, job: JobRun) -> bool:
         """It is time for a job that fails everywhere to be tried once more. Others leave that to
         the controller that has seen it fail."""
-        return job.blamed and self.owner.now >= job.hold_until and not job.placed
+        return job.blamed and self.desk.now >= job.hold_until and not job.placed
 
     def _alike(self, now: float, shard: Shard, jobs: list[JobRun], promised: Room) -> list[JobRun]:
         """Jobs without records of their own come in hundreds that are alike: those that follow one
--- a/sagecove/coordination/claims/placing.py
+++ b/sagecove/coordination/claims/placing.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
 
 from sagecove.coordination.claims.competing import Competing
 from sagecove.coordination.claims.ground import Ground
 from sagecove.coordination.claims.making import Making
 from sagecove.coordination.claims.releasing import Releasing
+from sagecove.coordination.ledger import Ledger
+from sagecove.coordination.limits.limits import Limits
 from sagecove.coordination.model import JobRun, Machine, Placement, Shard
 from sagecove.coordination.placement import (
     Room,
@@ -16,11 +17,9 @@
     plan,
     promise,
 )
+from sagecove.coordination.ports import Desk, Halting
 from sagecove.storage import taskset
 
-if TYPE_CHECKING:
-    from sagecove.coordination.owner import Owner
-
 log = logging.getLogger("sagecove.claims")
 
 
@@ -29,27 +28,32 @@
 
     def __init__(
         self,
-        owner: Owner,
+        desk: Desk,
         ground: Ground,
         making: Making,
         releasing: Releasing,
         competing: Competing,
+        ledger: Ledger,
+        limits: Limits,
+        workers: Halting,
     ) -> None:
-        self.owner = owner
+        self.desk = desk
+        self.ledger = ledger
+        self.limits = limits
+        self.workers = workers
         self.ground = ground
         self.making = making
         self.releasing = releasing
         self.competing = competing
 
     def _unreserve(self, job: JobRun, shard: str) -> None:
-        for name in [n for n in job.reserved if n in self.owner.by_shard.get(shard, {})]:
+        for name in [n for n in job.reserved if n in self.desk.by_shard.get(shard, {})]:
             del job.reserved[name]
 
     def place(
         self, now: float, shard: Shard, machines: list[Machine], job: JobRun, promised: Room
     ) -> None:
         """Place claimed tasks; make room for them; release those that find none."""
-        owner = self.owner
         name = shard.name
         if job.id in self.ground.kept:
             # Kept from others of its standing; its own to take.
@@ -64,9 +68,9 @@
             return
         spec = job.spec
         wanted = bits.bit_count()
-        allowed = self.making.limited(job, owner.limits.places(name, spec, wanted), True)
+        allowed = self.making.limited(job, self.limits.places(name, spec, wanted), True)
         if allowed < wanted and not job.blamed:
-            owner.limits.want(now, name, job, 0)
+            self.limits.want(now, name, job, 0)
         indexes: list[int] = []
         if allowed >= wanted or (allowed > 0 and not job.gang):
             most = 1 if job.blamed and not job.gang else 1000
@@ -84,7 +88,7 @@
             # Services stay long: spread thinly, they would keep every machine from its return.
             packing = self.ground.packing or job.service
             planned = plan(
-                job, indexes, usable, owner.random, promised, packing, self.ground.withheld
+                job, indexes, usable, self.desk.random, promised, packing, self.ground.withheld
             )
             for _, machine in planned:
                 promise(promised, machine.name, spec, -1)
@@ -139,15 +143,14 @@
         return making
 
     def _start(self, now: float, job: JobRun, index: int, machine: Machine, attempt: int) -> None:
-        owner = self.owner
         task = f"{job.id}/{index}"
         if task in machine.tasks:
             # An earlier attempt that has exited here is still to be removed.
             return
         placement = Placement(job, index, task, attempt, machine)
         placement.started_at = now
-        owner.ledger.put(machine, placement)
-        owner.workers.hurry(machine)
+        self.ledger.put(machine, placement)
+        self.workers.hurry(machine)
         job.attempt = attempt
         log.info(
             "start task=%s attempt=%d machine=%s team=%s waited=%.1f",
@@ -155,17 +158,16 @@
             attempt,
             machine.name,
             job.spec.team,
-            owner.wall() - job.at,
+            self.desk.wall() - job.at,
         )
 
     def place_alike(
         self, now: float, shard: Shard, jobs: list[JobRun], promised: Room
     ) -> list[JobRun]:
         """Place claimed jobs that are alike, and return those that found no place."""
-        owner = self.owner
         first = jobs[0]
         allowed = self.making.limited(
-            first, owner.limits.places(shard.name, first.spec, len(jobs)), True
+            first, self.limits.places(shard.name, first.spec, len(jobs)), True
         )
         if not allowed or self.ground.futile.known(first) or self.ground.roomy is None:
             return jobs
@@ -173,7 +175,7 @@
             first,
             list(range(allowed)),
             self.ground.roomy,
-            owner.random,
+            self.desk.random,
             promised,
             self.ground.packing,
             self.ground.withheld,
--- a/sagecove/coordination/claims/releasing.py
+++ b/sagecove/coordination/claims/releasing.py
@@ -2,23 +2,20 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from sagecove.coordination.claims.ground import Ground
 from sagecove.coordination.model import JobRun, Shard
+from sagecove.coordination.ports import Desk, Syncing
 from sagecove.protocol import state as wire
 from sagecove.storage.records import HOLDER, JOB
 from sagecove.storage.store import Outcome, Result
 
-if TYPE_CHECKING:
-    from sagecove.coordination.owner import Owner
-
 
 class Releasing:
     """Gives claims back."""
 
-    def __init__(self, owner: Owner, ground: Ground) -> None:
-        self.owner = owner
+    def __init__(self, desk: Desk, ground: Ground, sync: Syncing) -> None:
+        self.desk = desk
+        self.sync = sync
         self.ground = ground
         # Releases whose outcome is unknown: job, shard, claims without them, tasks.
         self.retries: list[tuple[JobRun, Shard, dict[str, int], int]] = []
@@ -36,7 +33,7 @@
         # What is being released must not be placed: the record is conditional, the room is not.
         job.hold_until = now + 0.5
         job.stuck_at.pop(name, None)
-        job.claim_after = now + self.owner.random.uniform(0.5, 1.5) * self.ground.poll_s
+        job.claim_after = now + self.desk.random.uniform(0.5, 1.5) * self.ground.poll_s
         job.releasing |= bits
         if job.home is not None:
             job.home.release(job, shard, bits)
@@ -44,20 +41,19 @@
         self.write_release(job, shard, claims, bits)
 
     def write_release(self, job: JobRun, shard: Shard, claims: dict[str, int], bits: int) -> None:
-        owner = self.owner
         stamp = job.stamp
         job.committing = True
 
         def done(result: Result) -> None:
             job.committing = False
-            owner.dirty = True
+            self.desk.dirty = True
             if result.outcome is Outcome.UNKNOWN and job.stamp == stamp:
                 # It may be executed late: nothing is placed until a repetition has settled it.
                 self.retries.append((job, shard, claims, bits))
                 return
             job.releasing &= ~bits
-            owner.sync.want_sync()
+            self.sync.want_sync()
 
         conditions = [(JOB + job.id, stamp), (HOLDER + shard.name, shard.term)]
         put = wire.Put(JOB + job.id, job.with_sets(job.fin, claims))
-        owner.commit(conditions, [put], done)
+        self.desk.commit(conditions, [put], done)
--- a/sagecove/coordination/claims/results.py
+++ b/sagecove/coordination/claims/results.py
@@ -2,29 +2,28 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
+from sagecove.coordination.backlog import Backlog
 from sagecove.coordination.model import JobRun, Shard
+from sagecove.coordination.ports import Desk, Halting, Syncing
 from sagecove.protocol import state as wire
 from sagecove.protocol.users import DONE
 from sagecove.storage.records import HOLDER, JOB, OVER, OverRecord
 from sagecove.storage.store import Outcome, Result
 
-if TYPE_CHECKING:
-    from sagecove.coordination.owner import Owner
-
 
 class Results:
     """Writes what has come of tasks."""
 
-    def __init__(self, owner: Owner) -> None:
-        self.owner = owner
-        self.record_s = owner.settings.params.workers.lease_s / 4
+    def __init__(self, desk: Desk, backlog: Backlog, workers: Halting, sync: Syncing) -> None:
+        self.desk = desk
+        self.backlog = backlog
+        self.workers = workers
+        self.sync = sync
+        self.record_s = self.desk.settings.params.workers.lease_s / 4
 
     def record(self, now: float, shards: list[Shard]) -> None:
         """Make finished tasks durable; end jobs whose last task has."""
-        owner = self.owner
-        for job in list(owner.backlog.open.values()):
+        for job in list(self.backlog.open.values()):
             if not job.fresh or job.committing:
                 continue
             shard = next((s for s in shards if job.claims.get(s.name, 0) & job.fresh), None)
@@ -56,25 +55,24 @@
 
     def _write(self, job: JobRun, shard: Shard, changes: list[wire.Put | wire.Drop]) -> None:
         """Write a job's record, if neither it nor the shard's holder has changed."""
-        owner = self.owner
         job.committing = True
 
         def done(result: Result) -> None:
             job.committing = False
-            owner.dirty = True
+            self.desk.dirty = True
             if result.outcome is Outcome.CONFLICT:
-                job.claim_after = owner.now + owner.random.uniform(0.05, 0.3)
-                owner.sync.want_sync()
+                job.claim_after = self.desk.now + self.desk.random.uniform(0.05, 0.3)
+                self.sync.want_sync()
             elif result.outcome is not Outcome.DONE:
-                job.claim_after = owner.now + owner.random.uniform(0.3, 1.0)
+                job.claim_after = self.desk.now + self.desk.random.uniform(0.3, 1.0)
 
         conditions = [(JOB + job.id, job.stamp), (HOLDER + shard.name, shard.term)]
-        owner.commit(conditions, changes, done)
+        self.desk.commit(conditions, changes, done)
 
     def gangs(self, now: float) -> None:
         """A gang that lost a task ends as a whole, and starts anew once all of it is gone."""
-        workers = self.owner.workers
-        for job in self.owner.backlog.open.values():
+        workers = self.workers
+        for job in self.backlog.open.values():
             if not job.gang:
                 continue
             live = [p for p in job.placed.values() if p.live]
--- a/sagecove/coordination/explain.py
+++ b/sagecove/coordination/explain.py
@@ -6,20 +6,67 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from sagecove.config import UNLIMITED
-from sagecove.coordination.model import JobRun, precedence
+from sagecove.coordination.limits.limits import Limits
+from sagecove.coordination.model import JobRun, Machine, precedence
 from sagecove.coordination.placement import type_allowed
+from sagecove.coordination.ports import Desk, Judge
 from sagecove.protocol import workers as w
 from sagecove.protocol.views import Cluster, Explanation, MachineView, ShardView, TeamView
+from sagecove.storage.mirror import Mirror
 from sagecove.storage.records import HOLDER, MEMBER, PROVISIONER
 
-if TYPE_CHECKING:
-    from sagecove.coordination.owner import Owner
 
+class Holders(Protocol):
+    """Who holds what."""
 
-def explain(owner: Owner, job: JobRun) -> Explanation:
+    def holder_of(self, shard: str) -> str | None:
+        """The node that holds a shard, as far as is known."""
+
+
+class Hearsay(Protocol):
+    """What peers say."""
+
+    def running_elsewhere(self, job_id: str) -> int:
+        """Running tasks of a job on other controllers' machines."""
+
+    def arrival(self, machine: Machine) -> str:
+        """Whether a machine is `up`, `coming` or `overdue`."""
+
+
+class Connected(Protocol):
+    """The state service as seen from here."""
+
+    def connected(self) -> bool:
+        """It answers."""
+
+
+class Known(Desk, Protocol):
+    """What is known here, to be told."""
+
+    mirror: Mirror
+    limits: Limits
+
+    @property
+    def failures(self) -> Judge:
+        """Who is to blame for errors."""
+
+    @property
+    def shards(self) -> Holders:
+        """Who holds what."""
+
+    @property
+    def peers(self) -> Hearsay:
+        """What peers say."""
+
+    @property
+    def sync(self) -> Connected:
+        """The state service as seen from here."""
+
+
+def explain(owner: Known, job: JobRun) -> Explanation:
     """Why a job waits."""
     running = sum(p.state == w.TASK_RUNNING for p in job.placed.values())
     return Explanation(
@@ -38,7 +85,7 @@
     )
 
 
-def _reasons(owner: Owner, job: JobRun) -> list[str]:
+def _reasons(owner: Known, job: JobRun) -> list[str]:
     out: list[str] = []
     if owner.failures.suspect(job):
         pause = max(0.0, job.hold_until - owner.now)
@@ -78,7 +125,7 @@
     return out
 
 
-def _unclaimed(owner: Owner, job: JobRun) -> list[str]:
+def _unclaimed(owner: Known, job: JobRun) -> list[str]:
     spec = job.spec
     out = []
     count = job.unclaimed.bit_count()
@@ -125,7 +172,7 @@
     return "it is older"
 
 
-def cluster(owner: Owner) -> Cluster:
+def cluster(owner: Known) -> Cluster:
     """Members, shards and their holders, teams against guarantee and limit, machines in trouble."""
     settings = owner.settings
     now = owner.now
@@ -170,7 +217,7 @@
     )
 
 
-def _teams(owner: Owner) -> list[TeamView]:
+def _teams(owner: Known) -> list[TeamView]:
     used: dict[str, list[float]] = {}
     for job in owner.jobs.values():
         have = used.setdefault(job.spec.team, [0.0, 0.0, 0])
--- /dev/null
+++ b/sagecove/coordination/inventory.py
@@ -0,0 +1,93 @@
+"""Machines as their records tell: they come, change their shards, and go."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from sagecove.coordination.ledger import Ledger
+from sagecove.coordination.model import Machine
+from sagecove.coordination.placement import dearness
+from sagecove.coordination.ports import Desk
+from sagecove.protocol.cloud import MachineType
+from sagecove.storage import records as r
+from sagecove.storage.mirror import Event
+
+
+class Forgetting(Protocol):
+    """What workers have said."""
+
+    # Machines that are gone, and since when.
+    gone: dict[str, float]
+
+    def forget_tasks(self, machine: Machine, why: str) -> None:
+        """All that was on a machine is gone."""
+
+
+class Resolving(Protocol):
+    """Machines that an earlier holder knew."""
+
+    def machine_resolved(self, machine: Machine) -> None:
+        """What an earlier holder may have left on this machine is known."""
+
+
+class Inventory:
+    """The tables of machines."""
+
+    def __init__(self, desk: Desk, ledger: Ledger, workers: Forgetting, shards: Resolving) -> None:
+        self.desk = desk
+        self.ledger = ledger
+        self.workers = workers
+        self.shards = shards
+        # Machines that are to be deleted.
+        self.leaving: dict[str, Machine] = {}
+        # The cheapest ordinary price for a CPU.
+        self.base_price = 0.0
+
+    def types_changed(self, types: list[MachineType]) -> None:
+        """The cloud has told its machine types."""
+        self.desk.types.clear()
+        self.desk.types.update((t.name, t) for t in types)
+        self.base_price = min((t.price / max(t.cpus, 0.1) for t in types), default=0)
+        for machine in self.desk.machines.values():
+            self._set_kind(machine)
+
+    def changed(self, name: str, event: Event) -> None:
+        """A machine's record has changed."""
+        machine = self.desk.machines.get(name)
+        if event.value is None:
+            if machine is not None:
+                # Its deletion was answered by the cloud: it is gone, and all that was on it.
+                del self.desk.machines[name]
+                self.leaving.pop(name, None)
+                self.desk.by_shard.get(machine.record.shard, {}).pop(name, None)
+                self.workers.gone[name] = self.desk.now
+                machine.known = False
+                self.workers.forget_tasks(machine, "gone")
+                self.shards.machine_resolved(machine)
+                self.ledger.look(machine)
+            return
+        record: r.MachineRecord = event.value
+        if machine is None:
+            machine = Machine(name, record, event.stamp, self.desk.now)
+            self.desk.machines[name] = machine
+        else:
+            if machine.record.shard != record.shard:
+                self.desk.by_shard.get(machine.record.shard, {}).pop(name, None)
+                self.ledger.moved(machine)
+                machine.record = record
+                machine.reset(self.desk.now)
+            machine.record = record
+            machine.stamp = event.stamp
+        self._set_kind(machine)
+        self.desk.by_shard.setdefault(record.shard, {})[name] = machine
+        if record.leaving:
+            self.leaving[name] = machine
+        else:
+            self.leaving.pop(name, None)
+        self.ledger.look(machine)
+
+    def _set_kind(self, machine: Machine) -> None:
+        machine.kind = kind = self.desk.types.get(machine.record.type)
+        if kind is not None:
+            machine.dear = dearness(kind, machine.record.spot, self.base_price)
+        self.ledger.look(machine)
--- a/sagecove/coordination/learning.py
+++ b/sagecove/coordination/learning.py
@@ -126,7 +126,7 @@
         fitting = [t for t in self.owner.types.values() if type_allowed(spec, t)]
         gpus = {t.name for t in fitting if t.gpus > 0}
         if len(gpus) < len(fitting):
-            if waited > self.owner.claims.poll_s / 2:
+            if waited > self.owner.settings.poll_s / 2:
                 gpus &= self.arrivals.keys()
             job.off = frozenset(gpus)
 
--- a/sagecove/coordination/limits/settling.py
+++ b/sagecove/coordination/limits/settling.py
@@ -48,7 +48,7 @@
         self.rows = rows
         self.commit = commit
         self.random = random
-        self.poll_s = min(1.5, settings.params.workers.report_s / 2)
+        self.poll_s = settings.poll_s
         self.configured = {
             team.name: (parts(team.cpus_max), parts(team.gpus_max))
             for team in settings.params.teams
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -4,8 +4,8 @@
 
 import dataclasses
 from collections import OrderedDict
+from typing import Any, Protocol
 
-from sagecove.coordination.ports import Home
 from sagecove.protocol import workers as w
 from sagecove.protocol.cloud import MachineType
 from sagecove.protocol.users import ARRAY, GANG, PRIORITIES, SERVICE, Job
@@ -23,6 +23,27 @@
     return round(amount * PARTS)
 
 
+class Home(Protocol):
+    """Where a job's durable state is, if not in a record of its own.
+
+    The core decides as for any job, and leaves the writing to its home: until the outcome is known
+    the home keeps `job.committing` set, and for a claim `job.claiming`, for a release the bits in
+    `job.releasing`.
+    """
+
+    def claim(self, job: JobRun, shard: Shard, bits: int) -> None:
+        """Claim tasks for a shard, together with the allotment they need."""
+
+    def release(self, job: JobRun, shard: Shard, bits: int) -> None:
+        """Give claimed tasks back that are provably nowhere."""
+
+    def finished(self, job: JobRun, shard: Shard) -> None:
+        """Tasks in `job.fresh` have completed on the shard's machines: make that durable."""
+
+    def cancel(self, job: JobRun, exchange: Any) -> None:
+        """Cancel the job, and answer its user once that is durable."""
+
+
 class JobRun:
     """A live job: its record, and what this controller knows beyond it."""
 
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -16,6 +16,7 @@
 from sagecove.coordination.effects import Answered, Call, Command, Effect
 from sagecove.coordination.ends import Ends
 from sagecove.coordination.failures import Failures
+from sagecove.coordination.inventory import Inventory
 from sagecove.coordination.leadership import Leadership
 from sagecove.coordination.learning import Learning
 from sagecove.coordination.ledger import Ledger
@@ -25,9 +26,6 @@
 from sagecove.coordination.limits.standing import Standing
 from sagecove.coordination.model import JobRun, Machine, Shard
 from sagecove.coordination.peers import Peers
-from sagecove.coordination.placement import (
-    dearness,
-)
 from sagecove.coordination.ports import TICK_S, Done, Feature
 from sagecove.coordination.provision import Provision
 from sagecove.coordination.requests import Requests
@@ -85,11 +83,8 @@
         self.machines: dict[str, Machine] = {}
         self.by_shard: dict[str, dict[str, Machine]] = {}
         self.types: dict[str, MachineType] = {}
-        self.base_price = 0.0
         # Rentals written down whose answers have not been.
         self.rentals: dict[str, Item] = {}
-        # Machines that are to be deleted.
-        self.leaving: dict[str, Machine] = {}
         self.held: dict[str, Shard] = {}
         self.counts: dict[str, int] = {}
         self.dirty = True
@@ -100,7 +95,6 @@
         self.sync = Sync(self)
         self.peers = Peers(self)
         self.learning = Learning(self)
-        self.upkeep = Upkeep(self)
         self.shards = Shards(self)
         self.requests = Requests(self)
         self.backlog = Backlog(self)
@@ -121,8 +115,24 @@
         self.leadership = Leadership(self)
         self.failures = Failures(self)
         self.workers = Workers(self)
-        self.claims = Claims(self)
-        self.stopping = Stopping(self)
+        self.inventory = Inventory(self, self.ledger, self.workers, self.shards)
+        self.upkeep = Upkeep(
+            self, self.shards, self.workers, self.learning, self.backlog, self._why
+        )
+        self.stopping = Stopping(self, self.learning)
+        self.claims = Claims(
+            self,
+            self.ledger,
+            self.limits,
+            self.backlog,
+            self.learning,
+            self.failures,
+            self.stopping,
+            self.workers,
+            self.shards,
+            self.sync,
+            self.peers,
+        )
         self.users = Users(self)
         self.provision = Provision(self)
         self.features = features(self) if features is not None else []
@@ -197,7 +207,8 @@
         self.upkeep.return_idle(now)
         self.peers.tell(now)
         self.peers.tell_wants(now)
-        self.upkeep.tell_waits(now)
+        if self.leadership.provisioner_term:
+            self.upkeep.tell_waits(now)
         self.ends.tick(now)
         if self.mirror.loaded and now - self.sync.synced_at > self.leadership.length / 8:
             self.sync.want_sync()
@@ -219,6 +230,12 @@
         for feature in self.features:
             feature.after_pass(now)
 
+    def _why(self, job: JobRun) -> list[str]:
+        """Why a job waits: hardly ever asked, so not loaded before."""
+        from sagecove.coordination import explain
+
+        return explain.explain(self, job).reasons
+
     # -- calls ----------------------------------------------------------------------------------
 
     def call(
@@ -291,14 +308,9 @@
             else:
                 self.rentals[key] = self.mirror.items[key]
         elif key.startswith(r.MACHINE):
-            self._machine_changed(key[len(r.MACHINE) :], event)
+            self.inventory.changed(key[len(r.MACHINE) :], event)
         elif key == r.TYPES and event.value is not None:
-            self.types = {t.name: t for t in event.value.types}
-            self.base_price = min(
-                (t.price / max(t.cpus, 0.1) for t in self.types.values()), default=0
-            )
-            for machine in self.machines.values():
-                self._set_kind(machine)
+            self.inventory.types_changed(event.value.types)
         elif key.startswith((ROW, SETTLEMENT)):
             self.limits.changed(event, self.now)
         elif key.startswith(r.HOLDER):
@@ -332,7 +344,7 @@
         self.jobs_changed = True
         job.seen_at = job.wait_told_at = self.now
         # Or all controllers would reach for it in the same moment, and all but one in vain.
-        job.claim_after = self.now + self.random.uniform(0.0, self.claims.poll_s / 6)
+        job.claim_after = self.now + self.random.uniform(0.0, self.settings.poll_s / 6)
         self.learning.note_arrival(job)
         self.guarantees.job_seen(job)
         for feature in self.features:
@@ -352,43 +364,3 @@
         for placement in list(job.placed.values()):
             self.workers.halt(placement, 0.0, "job over")
         self.ledger.over(job)
-
-    def _machine_changed(self, name: str, event: Event) -> None:
-        machine = self.machines.get(name)
-        if event.value is None:
-            if machine is not None:
-                # Its deletion was answered by the cloud: it is gone, and all that was on it.
-                del self.machines[name]
-                self.leaving.pop(name, None)
-                self.by_shard.get(machine.record.shard, {}).pop(name, None)
-                self.workers.gone[name] = self.now
-                machine.known = False
-                self.workers.forget_tasks(machine, "gone")
-                self.shards.machine_resolved(machine)
-                self.ledger.look(machine)
-            return
-        record: r.MachineRecord = event.value
-        if machine is None:
-            machine = Machine(name, record, event.stamp, self.now)
-            self.machines[name] = machine
-        else:
-            if machine.record.shard != record.shard:
-                self.by_shard.get(machine.record.shard, {}).pop(name, None)
-                self.ledger.moved(machine)
-                machine.record = record
-                machine.reset(self.now)
-            machine.record = record
-            machine.stamp = event.stamp
-        self._set_kind(machine)
-        self.by_shard.setdefault(record.shard, {})[name] = machine
-        if record.leaving:
-            self.leaving[name] = machine
-        else:
-            self.leaving.pop(name, None)
-        self.ledger.look(machine)
-
-    def _set_kind(self, machine: Machine) -> None:
-        machine.kind = kind = self.types.get(machine.record.type)
-        if kind is not None:
-            machine.dear = dearness(kind, machine.record.spot, self.base_price)
-        self.ledger.look(machine)
--- a/sagecove/coordination/ports.py
+++ b/sagecove/coordination/ports.py
@@ -4,15 +4,16 @@
 
 import dataclasses
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING, Any, Protocol
+from random import Random
+from typing import Any, Protocol
 
-if TYPE_CHECKING:
-    from sagecove.config import Settings
-    from sagecove.coordination.effects import Asked
-    from sagecove.coordination.model import JobRun, Machine, Shard
-    from sagecove.protocol import state as wire
-    from sagecove.protocol.cloud import MachineType
-    from sagecove.storage.mirror import Event
+from sagecove.config import Settings
+from sagecove.coordination.effects import Asked
+from sagecove.coordination.model import JobRun, Machine, Placement, Shard
+from sagecove.protocol import state as wire
+from sagecove.protocol.cloud import MachineType
+from sagecove.storage.mirror import Event
+from sagecove.storage.store import Result
 
 # Who hears an answer: status (None: no response; 0: never sent) and body.
 Done = Callable[[int | None, bytes], None]
@@ -59,42 +60,70 @@
         """The order of arrays."""
 
 
-class Poll(Protocol):
-    """The pace of claims."""
-
-    poll_s: float
-
-
 class Learned(Clock, Protocol):
     """What learning asks of its surroundings."""
 
     types: dict[str, MachineType]
     held: dict[str, Shard]
 
-    @property
-    def claims(self) -> Poll:
-        """The pace of claims."""
 
+class Desk(Clock, Protocol):
+    """The owner's tables as its parts read them, and how what they decide leaves."""
+
+    random: Random
+    # Shards held here; all machines by shard; machine types.
+    held: dict[str, Shard]
+    by_shard: dict[str, dict[str, Machine]]
+    types: dict[str, MachineType]
+    # Something has changed that a pass should look at.
+    dirty: bool
+
+    def commit(
+        self,
+        conditions: list[tuple[str, int]],
+        changes: list[wire.Put | wire.Drop],
+        done: Callable[[Result], None],
+        *,
+        urgent: bool = False,
+    ) -> None:
+        """A transaction; `done` hears its outcome."""
+
+    def count(self, what: str) -> None:
+        """Count an event, for metrics."""
+
+
+class Halting(Protocol):
+    """Commands to machines."""
+
+    def halt(self, placement: Placement, grace: float, for_whom: str) -> None:
+        """A task is to stop, with this grace (seconds)."""
+
+    def hurry(self, machine: Machine) -> None:
+        """A machine has commands waiting."""
+
+
+class Territory(Protocol):
+    """Shards, and what belongs to them."""
+
+    def acting_shards(self, now: float) -> list[str]:
+        """Shards for which this controller may act now."""
+
+    def gang_home(self, job: JobRun) -> str | None:
+        """The shard that a gang of whole machines belongs to."""
 
-class Home(Protocol):
-    """Where a job's durable state is, if not in a record of its own.
 
-    The core decides as for any job, and leaves the writing to its home: until the outcome is known
-    the home keeps `job.committing` set, and for a claim `job.claiming`, for a release the bits in
-    `job.releasing`.
-    """
+class Syncing(Protocol):
+    """The mirror's upkeep."""
 
-    def claim(self, job: JobRun, shard: Shard, bits: int) -> None:
-        """Claim tasks for a shard, together with the allotment they need."""
+    def want_sync(self) -> None:
+        """The mirror is seen to be behind."""
 
-    def release(self, job: JobRun, shard: Shard, bits: int) -> None:
-        """Give claimed tasks back that are provably nowhere."""
 
-    def finished(self, job: JobRun, shard: Shard) -> None:
-        """Tasks in `job.fresh` have completed on the shard's machines: make that durable."""
+class Draining(Protocol):
+    """What peers say of machines that are to run empty."""
 
-    def cancel(self, job: JobRun, exchange: Any) -> None:
-        """Cancel the job, and answer its user once that is durable."""
+    # By shard, until when.
+    draining: dict[str, float]
 
 
 @dataclasses.dataclass
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -283,7 +283,7 @@
         # While the records of deleted machines wait for their removal, deleting them again would
         # queue that again, at every tick: on a bench day this filled the queue of transactions, and
         # no claim went through for a minute.
-        names = [name for name in owner.leaving if name not in self.dropping]
+        names = [name for name in owner.inventory.leaving if name not in self.dropping]
         if not names or "delete" in self.busy:
             return
         names = sorted(names)[: c.DELETE_MOST]
@@ -493,7 +493,7 @@
         zones = zone_counts(job)
         cap = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
         count -= coming.fill(spec, count, shard, zones)
-        base = self.owner.base_price
+        base = self.owner.inventory.base_price
         options = self.options(job, now) if count > 0 else []
         options = [o for o in options if dearness(o[1], o[3], base) <= dearest]
         while count > 0:
@@ -514,7 +514,7 @@
 
     def _cheap(self, kind: MachineType) -> bool:
         """Machines of a type are among the cheap, at least as spot machines."""
-        return dearness(kind, True, self.owner.base_price) <= 1
+        return dearness(kind, True, self.owner.inventory.base_price) <= 1
 
     def _fill_arrays(
         self,
--- a/sagecove/coordination/stopping.py
+++ b/sagecove/coordination/stopping.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from sagecove.coordination.model import JobRun, Placement, standing
-from sagecove.coordination.ports import Clock, Poll
+from sagecove.coordination.ports import Clock
 
 # A task that has run for so many times what was expected will run on for half as long again as it
 # has: nothing better is known of it.
@@ -29,18 +29,6 @@
         """The ages by which a job is expected to be through (seconds)."""
 
 
-class Weighing(Clock, Protocol):
-    """What weighing stops asks of its surroundings."""
-
-    @property
-    def learning(self) -> Expecting:
-        """Learned run times."""
-
-    @property
-    def claims(self) -> Poll:
-        """The pace of claims."""
-
-
 def may_stop(job: JobRun, victim: JobRun) -> bool:
     """PROTOCOL's preemption rules; and only for a job that comes first in our own order, since
     otherwise the victim would take the room straight back."""
@@ -64,11 +52,12 @@
 class Stopping:
     """Weighs stops against waiting."""
 
-    def __init__(self, owner: Weighing) -> None:
-        self.owner = owner
+    def __init__(self, clock: Clock, learning: Expecting) -> None:
+        self.clock = clock
+        self.learning = learning
         # How long work within a guarantee may wait for others to end: two reports, in which
         # machines tell what came free. Not longer for an aim that allows it.
-        self.guarantee_s = GUARANTEE_REPORTS * owner.settings.params.workers.report_s
+        self.guarantee_s = GUARANTEE_REPORTS * clock.settings.params.workers.report_s
 
     def rank(self, job: JobRun) -> tuple[object, ...]:
         """Jobs with this in common may stop the same tasks."""
@@ -83,15 +72,14 @@
         can still meet; and one within its team's guarantee need not wait on other teams."""
         if not job.array:
             return 0.0
-        owner = self.owner
-        run = owner.learning.expected(job)
-        age = owner.wall() - job.at
+        run = self.learning.expected(job)
+        age = self.clock.wall() - job.at
         left = run
         if job.within:
             # Against waiting for as long as one's own tasks run: an array of endless tasks waited
             # without end for the guests that held its team's guarantee.
-            left = self.guarantee_s - age - owner.claims.poll_s
-        for due in owner.learning.dues(job):
+            left = self.guarantee_s - age - self.clock.settings.poll_s
+        for due in self.learning.dues(job):
             if age + run <= due:
                 left = min(left, due - age - run)
                 break
@@ -110,8 +98,8 @@
         enough. Services never end."""
         if patience <= 0 or not victim.array:
             return placements, 0
-        run = self.owner.learning.expected(victim)
-        now, stops = self.owner.now, victim.stops or {}
+        run = self.learning.expected(victim)
+        now, stops = self.clock.now, victim.stops or {}
         worth, soon = [], 0
         for placement in placements:
             ran = now - placement.started_at
--- a/sagecove/coordination/upkeep.py
+++ b/sagecove/coordination/upkeep.py
@@ -3,28 +3,48 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import Protocol
 
-from sagecove.coordination.model import Machine
+from sagecove.coordination.backlog import Backlog
+from sagecove.coordination.learning import Learning
+from sagecove.coordination.model import JobRun, Machine
 from sagecove.coordination.placement import machine_allowed, slots
-from sagecove.coordination.ports import TICK_S
+from sagecove.coordination.ports import TICK_S, Desk, Territory
 from sagecove.protocol.cloud import MachineType
 
-if TYPE_CHECKING:
-    from sagecove.coordination.owner import Owner
-
-
 log = logging.getLogger("sagecove.upkeep")
 
 # A job that waits this long is told of in the log, and again after as long.
 WAIT_TOLD_S = 20.0
 
 
+class Leaving(Protocol):
+    """Machines that are no longer wanted."""
+
+    def leave(self, machine: Machine, why: str) -> None:
+        """Hand a machine to the provisioner for its return."""
+
+
 class Upkeep:
     """Idle machines and long waits."""
 
-    def __init__(self, owner: Owner) -> None:
-        self.owner = owner
+    def __init__(
+        self,
+        desk: Desk,
+        shards: Territory,
+        workers: Leaving,
+        learning: Learning,
+        backlog: Backlog,
+        why: Callable[[JobRun], list[str]],
+    ) -> None:
+        self.desk = desk
+        self.shards = shards
+        self.workers = workers
+        self.learning = learning
+        self.backlog = backlog
+        # Why a job waits.
+        self.why = why
         self.idle_at = 0.0
         self.wait_told_at = 0.0
 
@@ -33,14 +53,14 @@
         if now < self.idle_at:
             return
         self.idle_at = now + 4 * TICK_S
-        for name in self.owner.shards.acting_shards(now):
+        for name in self.shards.acting_shards(now):
             idle: dict[tuple[str, bool], list[Machine]] = {}
-            machines = self.owner.shards.shard_machines(name)
+            machines = list(self.desk.by_shard.get(name, {}).values())
             for machine in machines:
                 if not machine.empty or machine.record.leaving or machine.kind is None:
                     continue
                 if machine.notice:
-                    self.owner.workers.leave(machine, "spot notice")
+                    self.workers.leave(machine, "spot notice")
                     continue
                 idle.setdefault((machine.record.type, machine.record.spot), []).append(machine)
             for group in idle.values():
@@ -49,17 +69,15 @@
                 assert kind is not None
                 patience = self._patience(kind)
                 # Kept whether services came or not, a machine of each shard stayed for good.
-                warm = not group[0].record.spot and self.owner.learning.services_expected(
-                    1.5 * patience
-                )
+                warm = not group[0].record.spot and self.learning.services_expected(1.5 * patience)
                 keep = self._keep(kind, machines) if warm else 0
                 keep = max(keep, self._for_tries(group[0]))
                 for machine in group[keep:]:
-                    age = self.owner.wall() - machine.record.at
+                    age = self.desk.wall() - machine.record.at
                     # A machine that is deleted costs 60 s at least: it may as well wait as long.
                     drained = now < machine.drain_until and now - machine.idle_since > 2.0
                     if (drained or now - machine.idle_since > patience) and age > 55.0:
-                        self.owner.workers.leave(machine, "idle")
+                        self.workers.leave(machine, "idle")
 
     def _for_tries(self, machine: Machine) -> int:
         """Machines like this one that the next try of a job takes which fails everywhere: none are
@@ -67,7 +85,7 @@
         kind = machine.kind
         assert kind is not None
         most = 0
-        for job in self.owner.backlog.open.values():
+        for job in self.backlog.open.values():
             if job.blamed and not job.placed and machine_allowed(job.spec, machine):
                 fit = max(1, slots(job.spec, (kind.cpus, kind.gpus, kind.memory_gb)))
                 most = max(most, -(-job.spec.tasks // fit) if job.whole else 1)
@@ -77,9 +95,9 @@
         """How long a machine may idle: longer where jobs come that need one of its own, since
         those would have to wait for a boot."""
         patience = max(15.0, 0.8 * kind.boot_s)
-        arrivals = self.owner.learning.arrivals.get(kind.name)
+        arrivals = self.learning.arrivals.get(kind.name)
         if arrivals and len(arrivals) > 1:
-            gap = (self.owner.now - arrivals[0]) / len(arrivals)
+            gap = (self.desk.now - arrivals[0]) / len(arrivals)
             patience = max(patience, min(2.5 * gap, 5 * kind.boot_s))
         return patience
 
@@ -100,17 +118,13 @@
 
     def tell_waits(self, now: float) -> None:
         """Log why jobs wait that have waited for long: the oldest few at a time."""
-        if not self.owner.leadership.provisioner_term or now < self.wait_told_at + 5.0:
+        if now < self.wait_told_at + 5.0:
             return
         self.wait_told_at = now
-        from sagecove.coordination import explain
-
         long = [
-            j
-            for j in self.owner.jobs.values()
-            if j.unclaimed and now - j.wait_told_at > WAIT_TOLD_S
+            j for j in self.desk.jobs.values() if j.unclaimed and now - j.wait_told_at > WAIT_TOLD_S
         ]
         for job in sorted(long, key=lambda j: j.wait_told_at)[:3]:
             job.wait_told_at = now
-            told = explain.explain(self.owner, job)
-            log.info("waits job=%s team=%s why=%s", job.id, told.team, "; ".join(told.reasons))
+            why = "; ".join(self.why(job))
+            log.info("waits job=%s team=%s why=%s", job.id, job.spec.team, why)
--- a/sagecove/sweeps/claims.py
+++ b/sagecove/sweeps/claims.py
@@ -337,7 +337,7 @@
                     if job.spec.team == team:
                         del claiming[k]
                         self._settle(job)
-                        job.claim_after = owner.now + owner.claims.poll_s / 2
+                        job.claim_after = owner.now + owner.settings.poll_s / 2
         if not claiming and not giving and not finishing:
             return
         record = self.record()
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -18,12 +18,8 @@
 }
 CIRCLES = [
     # Parts of the owner that are typed by it.
-    {"coordination." + name for name in ("explain", "leadership", "owner", "peers", "provision")}
-    | {"coordination." + name for name in ("requests", "shards", "sync", "upkeep")}
-    | {"coordination." + name for name in ("users", "workers")}
-    | {"coordination.claims." + name for name in ("competing", "ground", "making", "passes")}
-    | {"coordination.claims." + name for name in ("placing", "releasing", "results")},
-    {"coordination.model", "coordination.ports"},
+    {"coordination." + name for name in ("leadership", "owner", "peers", "provision", "requests")}
+    | {"coordination." + name for name in ("shards", "sync", "users", "workers")},
     {"sweeps.claims", "sweeps.decisions", "sweeps.model", "sweeps.routes"},
 ]
 
