--- a/sagecove/cli.py
+++ b/sagecove/cli.py
@@ -156,6 +156,10 @@
         )
         if team["gpus"] or team["guaranteed_gpus"]:
             text += f"; {team['gpus']:g} GPUs of {team['guaranteed_gpus']:g}"
+        if team.get("owed_cpus"):
+            text += f", {team['owed_cpus']:g} owed"
+        if team.get("lent_cpus"):
+            text += f", {team['lent_cpus']:g} of it unused"
         lines.append(f"{text}; {team['waiting_tasks']} tasks wait")
     lines += [
         f"machine {m['name']} ({m['type']}, {m['zone']}, shard {m['shard']}): {m['state']}"
--- a/sagecove/coordination/claims/competing.py
+++ b/sagecove/coordination/claims/competing.py
@@ -77,18 +77,22 @@
         if len(job.placed) * share < 1:
             return 0
         begun = self.desk.now - 2 * run - self.ahead_s
-        if job.within:
-            # Tasks that were started together end together: claimed ahead by what ends on average,
-            # the last of a guarantee waited here for a whole run, while others held what was owed.
-            ending = self.desk.now + self.ahead_s - run
-            return sum(begun <= p.started_at <= ending for p in job.placed.values())
         # They stand in the order of their starts, and few have run for so long.
         old = 0
         for placement in job.placed.values():
             if placement.started_at >= begun:
                 break
             old += 1
-        return int(share * (len(job.placed) - old))
+        ahead = int(share * (len(job.placed) - old))
+        borrowed = self.limits.standing.borrowed_by_others(job.spec.team) if job.within else 0.0
+        if ahead > 0 and borrowed > 0:
+            # Tasks that were started together end together. Claimed ahead by what ends on average,
+            # the last of a guarantee waited here for a whole run while others held what was owed:
+            # for as many as could have that, only what ends in time counts.
+            ending = self.desk.now + self.ahead_s - run
+            surely = sum(begun <= p.started_at <= ending for p in job.placed.values())
+            ahead = max(surely, ahead - int(borrowed / max(job.spec.cpus, 0.1)))
+        return ahead
 
     def fitting(self, job: JobRun, shard: str, machines: list[Machine], promised: Room) -> int:
         """How many unclaimed tasks fit this shard's free room; they are added to `promised`."""
--- a/sagecove/coordination/claims/placing.py
+++ b/sagecove/coordination/claims/placing.py
@@ -16,8 +16,10 @@
     keep_reserved,
     plan,
     promise,
+    slots,
 )
 from sagecove.coordination.ports import Desk, Halting
+from sagecove.coordination.stopping import need
 from sagecove.storage import taskset
 
 log = logging.getLogger("sagecove.claims")
@@ -125,8 +127,7 @@
             return
         self.releasing.release(now, job, shard)
 
-    @staticmethod
-    def _still_made(job: JobRun, left: int, taken: list[Machine]) -> int:
+    def _still_made(self, job: JobRun, left: int, taken: list[Machine]) -> int:
         """For how many of its tasks room is still being made: not where it has been taken, and not
         for more than are without a place."""
         for machine in taken:
@@ -134,7 +135,7 @@
                 job.reserved[machine.name] -= 1
         making = 0
         for name in list(job.reserved):
-            count = min(job.reserved[name], left - making)
+            count = min(job.reserved[name], left - making, self._coming(job, name))
             if count > 0:
                 job.reserved[name] = count
                 making += count
@@ -142,6 +143,17 @@
                 del job.reserved[name]
         return making
 
+    def _coming(self, job: JobRun, name: str) -> int:
+        """How many tasks of a job a machine will have room for, once what stops there has."""
+        machine = self.desk.machines.get(name)
+        if machine is None:
+            return 0
+        room = list(machine.free())
+        for p in machine.tasks.values():
+            if p.halt is not None and p.live and p.job is not None:
+                room = [have + more for have, more in zip(room, need(p.job), strict=True)]
+        return slots(job.spec, (room[0], room[1], room[2]))
+
     def _start(self, now: float, job: JobRun, index: int, machine: Machine, attempt: int) -> None:
         task = f"{job.id}/{index}"
         if task in machine.tasks:
--- a/sagecove/coordination/explain.py
+++ b/sagecove/coordination/explain.py
@@ -10,9 +10,10 @@
 
 from sagecove.config import UNLIMITED
 from sagecove.coordination.limits.limits import Limits
-from sagecove.coordination.model import JobRun, Machine, precedence
+from sagecove.coordination.model import PARTS, JobRun, Machine, parts, precedence
 from sagecove.coordination.placement import type_allowed
 from sagecove.coordination.ports import Desk, Judge
+from sagecove.coordination.stopping import GUARANTEE_REPORTS
 from sagecove.protocol import workers as w
 from sagecove.protocol.views import Cluster, Explanation, MachineView, ShardView, TeamView
 from sagecove.storage.mirror import Mirror
@@ -122,9 +123,36 @@
     out += [f"tasks are being stopped for {whom}" for whom in sorted(stopped)]
     if job.unclaimed:
         out += _unclaimed(owner, job)
+    if job.within:
+        out += _owed(owner, job)
     return out
 
 
+def _owed(owner: Known, job: JobRun) -> list[str]:
+    """What a job within its team's guarantee is owed, from whom it will come, and by when."""
+    spec = job.spec
+    count = job.unclaimed.bit_count() + sum(
+        (job.claimed(shard) & ~job.placed_bits).bit_count()
+        for shard in job.claims
+        if shard in owner.held
+    )
+    if not count:
+        return []
+    lack = count * parts(spec.cpus), count * parts(spec.gpus)
+    sources = owner.limits.standing.sources(spec.team, lack)
+    if not sources:
+        return [f"{count} tasks are owed to team {spec.team}; nobody borrows what they need"]
+    left = GUARANTEE_REPORTS * owner.settings.params.workers.report_s
+    left = max(0.0, left - (owner.wall() - job.at))
+    whom = ", ".join(
+        f"{name} ({amount[0] / PARTS:g} CPUs"
+        + (f", {amount[1] / PARTS:g} GPUs)" if amount[1] else ")")
+        for name, amount in sorted(sources.items())
+    )
+    when = f"after {left:.1f} s" if left else "from now on"
+    return [f"{count} tasks are owed to team {spec.team}: {when} room is made by stopping {whom}"]
+
+
 def _unclaimed(owner: Known, job: JobRun) -> list[str]:
     spec = job.spec
     out = []
@@ -219,7 +247,11 @@
 
 def _teams(owner: Known) -> list[TeamView]:
     used: dict[str, list[float]] = {}
+    owed: dict[str, float] = {}
     for job in owner.jobs.values():
+        if job.within:
+            lacking = job.unclaimed.bit_count() * job.spec.cpus
+            owed[job.spec.team] = owed.get(job.spec.team, 0.0) + lacking
         have = used.setdefault(job.spec.team, [0.0, 0.0, 0])
         claimed = (job.unfinished & ~job.unclaimed).bit_count()
         have[0] += claimed * job.spec.cpus
@@ -240,6 +272,8 @@
                 round(max(0.0, cpus - team.cpus), 3),
                 round(max(0.0, gpus - team.gpus), 3),
                 int(waiting),
+                round(owed.get(team.name, 0.0), 3),
+                round(max(0.0, team.cpus - cpus - owed.get(team.name, 0.0)), 3),
             )
         )
     return out
--- a/sagecove/coordination/limits/standing.py
+++ b/sagecove/coordination/limits/standing.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 from sagecove.config import Team
-from sagecove.coordination.limits.records import ZERO, Amount, plus
-from sagecove.coordination.model import JobRun, parts
+from sagecove.coordination.limits.records import ZERO, Amount, minus, most, plus
+from sagecove.coordination.model import PARTS, JobRun, parts
 
 
 class Standing:
@@ -57,6 +57,38 @@
         """All that a team claims."""
         return self.totals.get(team, ZERO)
 
+    def borrowers(self, team: str) -> dict[str, Amount]:
+        """Other teams that claim more than their guarantees, and by how much."""
+        out = {}
+        for name, total in self.totals.items():
+            known = self.teams.get(name)
+            if name != team and known is not None:
+                over = minus(total, (parts(known.cpus), parts(known.gpus)))
+                if over[0] > 0 or over[1] > 0:
+                    out[name] = most(ZERO, over)
+        return out
+
+    def sources(self, team: str, lack: Amount) -> dict[str, Amount]:
+        """Who gives how much of what a team is owed: in proportion to what they borrow, and no more
+        than that. Rounded down; what that leaves comes from whoever borrows most."""
+        borrowers = self.borrowers(team)
+        found: dict[str, list[int]] = {name: [0, 0] for name in borrowers}
+        for n in (0, 1):
+            total = sum(over[n] for over in borrowers.values())
+            wanted = min(lack[n], total)
+            for name, over in borrowers.items():
+                found[name][n] = wanted * over[n] // total if total else 0
+            rest = wanted - sum(part[n] for part in found.values())
+            for name in sorted(borrowers, key=lambda b: -borrowers[b][n]):
+                more = min(rest, borrowers[name][n] - found[name][n])
+                found[name][n] += more
+                rest -= more
+        return {name: (p[0], p[1]) for name, p in found.items() if p != [0, 0]}
+
+    def borrowed_by_others(self, team: str) -> float:
+        """CPUs that other teams claim beyond their guarantees."""
+        return sum(over[0] for over in self.borrowers(team).values()) / PARTS
+
     def borrowed(self, team: str) -> float:
         """What a team claims beyond its guarantee, as a part of that: the larger of its parts of
         CPUs and GPUs. Of a team without a guarantee, its claims in tasks' whole units."""
--- a/sagecove/protocol/views.py
+++ b/sagecove/protocol/views.py
@@ -47,6 +47,10 @@
     borrowed_cpus: float
     borrowed_gpus: float
     waiting_tasks: int
+    # Of its guarantee: what its jobs within it still wait for, and what lies unused, so that others
+    # may borrow it.
+    owed_cpus: float = 0.0
+    lent_cpus: float = 0.0
 
 
 class MachineView(msgspec.Struct):
