Who borrows gives back in proportion, and each controller has a part in that

Need: room for a guarantee was made where least work was lost, and by whoever came first. Change: what each borrower gives follows from the account of all claims, alike for all controllers; a controller makes room for its part first, and stops tasks of several borrowers in proportion; after two polls what lacks is made anywhere.

--- a/sagecove/coordination/claims/competing.py
+++ b/sagecove/coordination/claims/competing.py
@@ -10,7 +10,7 @@
 from sagecove.coordination.learning import Learning
 from sagecove.coordination.ledger import Ledger
 from sagecove.coordination.limits.limits import Limits
-from sagecove.coordination.model import JobRun, Machine, Shard, standing
+from sagecove.coordination.model import JobRun, Machine, Shard, parts, standing
 from sagecove.coordination.placement import (
     Room,
     plan,
@@ -150,6 +150,7 @@
         elif self.ground.making and count < wanted and now - job.seen_at > self.ground.poll_s / 3:
             able = self.making.limited(job, self.limits.claimable(shard.name, job.spec, wanted))
             if able > count:
+                able = min(able, count + self._part(now, job, shard.name))
                 count += self.making.could_make(job, able - count, promised)
         if not count or (job.whole and count < wanted):
             if job.gang:
@@ -160,6 +161,19 @@
             self._ask(now, shard.name, job, machines, promised, min(count, planned))
         self.claim(job, shard, taskset.lowest(bits, count))
 
+    def _part(self, now: float, job: JobRun, shard: str) -> int:
+        """For how many more tasks of a job this shard is to make room: those that borrow give back
+        in proportion, wherever they run, so each controller has a part that all others find too.
+        What is lacking after two polls is made wherever it can be."""
+        wanted = job.unfinished.bit_count()
+        if not job.within or not job.array or now - job.seen_at > 2 * self.ground.poll_s:
+            return wanted
+        lack = wanted * parts(job.spec.cpus), wanted * parts(job.spec.gpus)
+        part = self.limits.standing.part(shard, job.spec.team, lack)
+        each = parts(job.spec.cpus), parts(job.spec.gpus)
+        tasks = max((-(-part[n] // each[n]) for n in (0, 1) if each[n]), default=wanted)
+        return max(0, tasks - job.claimed(shard).bit_count())
+
     def _ask(
         self,
         now: float,
--- a/sagecove/coordination/claims/making.py
+++ b/sagecove/coordination/claims/making.py
@@ -21,6 +21,9 @@
 from sagecove.coordination.ports import Desk, Halting
 from sagecove.coordination.stopping import Stopping, may_stop, need
 
+# Where room can be made: an image is to be fetched, the work lost, the machine, who is stopped.
+Candidate = tuple[bool, float, Machine, list[Placement]]
+
 
 class Making:
     """Makes room, or says how much could be made."""
@@ -40,6 +43,9 @@
         self.stopping = stopping
         self.workers = workers
         self.ground = ground
+        # CPUs that teams gave back lately, and when that was.
+        self.given: dict[str, float] = {}
+        self.given_at = 0.0
 
     def withhold(
         self, shard: Shard, machines: list[Machine], ordered: list[JobRun]
@@ -154,7 +160,7 @@
         if count <= 0:
             return 0
         patience = self.stopping.patience(job)
-        candidates: list[tuple[bool, float, Machine, list[Placement]]] = []
+        candidates: list[Candidate] = []
         counts = zone_counts(job)
         for machine in self.ground.candidates(job, machines):
             if not machine.open or not suits(job, machine):
@@ -189,6 +195,8 @@
                 fetch = job.priority == 3 and spec.image not in machine.images
                 candidates.append((fetch, loss, machine, chosen))
         candidates.sort(key=lambda c: (c[0], c[1], c[2].name))
+        if job.within and not job.service:
+            candidates = self._in_proportion(now, candidates)
         if not candidates:
             self.ground.futile_making.add(job, rank)
         if job.gang and len(candidates) < count:
@@ -202,10 +210,39 @@
             job.reserved_until = now + 2 * self.desk.settings.params.workers.report_s + 10.0
             for p in chosen:
                 assert p.job is not None
+                team = p.job.spec.team
+                self.given[team] = self.given.get(team, 0.0) + p.job.spec.cpus
                 self.stopping.stopped(p)
                 self.workers.halt(p, p.job.grace_s, job.id)
         return making
 
+    def _in_proportion(self, now: float, candidates: list[Candidate]) -> list[Candidate]:
+        """Who borrows gives back, in proportion to what it borrows beyond its guarantee by the
+        account that all controllers have: not whoever has lost least by being stopped. Among one
+        team's tasks that still decides."""
+        if now - self.given_at > self.ground.poll_s:
+            # By now what was stopped is no longer claimed.
+            self.given.clear()
+        self.given_at = now
+        by_team: dict[str, list[Candidate]] = {}
+        for candidate in candidates:
+            victims = candidate[3]
+            largest = max(victims, key=lambda p: need(p.job)[0] if p.job else 0.0, default=None)
+            team = largest.job.spec.team if largest is not None and largest.job is not None else ""
+            by_team.setdefault(team, []).append(candidate)
+        out = by_team.pop("", [])
+        if len(by_team) < 2:
+            return out + [c for group in by_team.values() for c in group]
+        borrowed = {team: max(1e-6, self.limits.standing.borrowed(team)) for team in by_team}
+        given = {team: self.given.get(team, 0.0) for team in by_team}
+        while by_team:
+            team = min(by_team, key=lambda t: ((given[t] + _stops(by_team[t][0])) / borrowed[t], t))
+            given[team] += _stops(by_team[team][0])
+            out.append(by_team[team].pop(0))
+            if not by_team[team]:
+                del by_team[team]
+        return out
+
     def could_make(self, job: JobRun, count: int, promised: Room) -> int:
         """How many tasks would fit if others were stopped for them (nothing is stopped yet)."""
         making = 0
@@ -247,3 +284,8 @@
     assert p.job is not None
     first = standing(p.job)
     return not first[0], not first[1], -first[2], -p.started_at
+
+
+def _stops(candidate: Candidate) -> float:
+    """CPUs that are stopped for a candidate."""
+    return sum(p.job.spec.cpus for p in candidate[3] if p.job is not None)
--- a/sagecove/coordination/limits/standing.py
+++ b/sagecove/coordination/limits/standing.py
@@ -85,6 +85,16 @@
                 rest -= more
         return {name: (p[0], p[1]) for name, p in found.items() if p != [0, 0]}
 
+    def part(self, shard: str, team: str, lack: Amount) -> Amount:
+        """What of a team's lack is to come from a shard: of what each borrower gives, as much as
+        the shard has of that borrower's claims."""
+        out = ZERO
+        for name, amount in self.sources(team, lack).items():
+            here, total = self.claimed[name].get(shard, ZERO), self.totals[name]
+            share = [amount[n] * here[n] // total[n] if total[n] else 0 for n in (0, 1)]
+            out = plus(out, (share[0], share[1]))
+        return out
+
     def borrowed_by_others(self, team: str) -> float:
         """CPUs that other teams claim beyond their guarantees."""
         return sum(over[0] for over in self.borrowers(team).values()) / PARTS
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -245,6 +245,51 @@
     assert started(w, 10) == 3 and started(w, 11) == 3
 
 
+def test_who_borrows_gives_back_in_proportion() -> None:
+    # Two teams with guarantees of 4 hold 44 and 24: 40 and 20 borrowed. 24 are asked back.
+    w = world(3, 18, team("red", 24, 72), team("x", 4, 72), team("y", 4, 72))
+    for worker in w.workers.values():
+        worker.run_s = None
+    submit_all(
+        w, job(1, outfit="x", hands=22, reckonS=1e6), job(2, outfit="y", hands=12, reckonS=1e6)
+    )
+    w.until(lambda: use(w, "x") + use(w, "y") == 68, 30)
+    before = use(w, "x"), use(w, "y")
+    submit_all(w, job(3, hands=12, reckonS=1e6))
+    w.until(lambda: started(w, 3) == 12, 30)
+    gave = before[0] - use(w, "x"), before[1] - use(w, "y")
+    # 4 of 72 were free: 20 come back, two thirds and one third of them, give or take one task each.
+    assert sum(gave) == 20
+    assert abs(gave[0] - 2 * sum(gave) / 3) <= 2 * len(w.owners)
+
+
+def test_what_is_owed_and_from_whom_is_told() -> None:
+    w = world(3, 9, team("red", 12, 36), team("x", 4, 36))
+    fill(w, 36)
+    w.still.update({f"n{n}": w.now + 2 for n in (1, 2)})
+    w.run(0.1)
+    w.submit("n0", job(1, hands=6, reckonS=1e6))
+    told = w.user("n0", "GET", "/explain/run-000001")[1]
+    assert any("owed to team red" in r and "guests (" in r for r in told["reasons"]), told
+    seen = w.user("n0", "GET", "/cluster")[1]
+    red = next(t for t in seen["teams"] if t["name"] == "red")
+    assert red["owed_cpus"] + red["cpus"] == 12 and red["lent_cpus"] == 0
+    idle = next(t for t in seen["teams"] if t["name"] == "x")
+    assert idle["lent_cpus"] == 4
+
+
+def test_no_array_waits_without_end_behind_smaller_ones_of_its_standing() -> None:
+    # Each of them could still be in time, so that a large one that could not came after them all.
+    w = world(1, 4, team("red", 0, 64))
+    for worker in w.workers.values():
+        worker.run_s = 4.0
+    submit_all(w, job(1, hands=40, outfit="guests", dueS=10.0))
+    for n in range(60):
+        submit_all(w, job(100 + n, hands=6, outfit="guests", dueS=60.0, reckonS=4.0))
+        w.run(1.0)
+    assert len({t for t in w.completed if t.startswith("run-000001/")}) == 40
+
+
 # -- failures ------------------------------------------------------------------------------------
 
 
