Holders say which claims near a limit have completed; what is left counts without them

Cause, found by a play of gangs beside arrays at a limit: completed tasks are written down seconds later, and until then counted as claimed by the other controllers, so that what is left of a limit came out negative, arrays were held back and stopped for a gang, and spare amounts were given late. Change: a hint tells them, for teams near their limits; the own shards' books are read directly.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -114,6 +114,41 @@
     }
 
 
+def uneven(nodes: int) -> dict[str, float]:
+    """Two thirds of the machines are one controller's, and jobs of three shapes come and go."""
+    w = Play(nodes, [team("red", 0, 160), team("guests", 0, 0)], 0)
+    w.cloud.capacity = {"small": 60, "gpu": 0}
+    for number in range(60):
+        name = w.cloud.start("small", "ab"[number % 2], False)
+        shard = "n0" if number % 3 else f"n{number % nodes}"
+        record = {
+            "type": "small",
+            "zone": "ab"[number % 2],
+            "spot": False,
+            "shard": shard,
+            "at": w.now,
+        }
+        w.state.commit({"if": [], "then": [{"put": f"s/machine/{name}", "v": record}]})
+    w.run(8)
+    gang = {"shape": "ensemble", "rank": "urgent", "hands": 12}
+    w.ask_all([job(n, hands=40) for n in range(30)])
+    w.run(5)
+    w.written = w.lost = w.changes = 0
+    uses, done = [], len(w.completed)
+    for step in range(100):
+        if step % 12 == 0:
+            w.ask_all([job(1000 + step, **gang)])
+        w.run(0.25)
+        uses.append(w.use("red"))
+    return {
+        "transactions": w.written,
+        "lost": w.lost,
+        "mean use of 160": sum(uses) / len(uses),
+        "tasks done": len(w.completed) - done,
+        "changes a second": w.changes / 25,
+    }
+
+
 def long(nodes: int) -> dict[str, float]:
     w = Play(nodes, [team("red", 200, 240), team("guests", 0, 0)], 60)
     w.fill(60)
@@ -154,19 +189,22 @@
     before = w.use("red")
     deployment.TEAMS[:] = [team("red", 0, 80), team("guests", 0, 0)]
     w.check = lambda: None  # type: ignore[method-assign]
-    begun, least = w.now, float("inf")
+    begun, reached = w.now, float("inf")
+
+    def pass_by(seconds: float) -> None:
+        nonlocal reached
+        for _ in range(int(seconds / 0.2)):
+            w.run(0.2)
+            if w.use("red") <= 80:
+                reached = min(reached, w.now - begun)
+
     for name in w.controllers():
         w.kill(name)
-        w.run(2)
+        pass_by(2)
         w.boot_node(int(name[1:]))
-        w.run(4)
-    while w.now - begun < 60 + 6 * nodes:
-        w.run(0.2)
-        if w.use("red") <= 80:
-            least = w.now - begun
-            break
-    w.run(20)
-    return {"before": before, "under 80 after s": least, "use 20 s later": w.use("red")}
+        pass_by(8)
+    pass_by(60)
+    return {"before": before, "under 80 after s": reached, "at the end": w.use("red")}
 
 
 def thirty(nodes: int) -> dict[str, float]:
@@ -199,6 +237,7 @@
 
 PLAYS = {
     "limit": limit,
+    "uneven": uneven,
     "long": long,
     "exact": exact,
     "ten": ten,
--- a/sagecove/coordination/limits/limits.py
+++ b/sagecove/coordination/limits/limits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import Protocol
 
@@ -24,9 +24,9 @@
 from sagecove.coordination.limits.settling import Settling
 from sagecove.coordination.limits.standing import Standing
 from sagecove.coordination.limits.transfers import plan
-from sagecove.coordination.limits.wants import Wants
+from sagecove.coordination.limits.wants import TOLD_POLLS, Wants
 from sagecove.coordination.model import PARTS, JobRun, Shard, parts
-from sagecove.protocol.peers import Want
+from sagecove.protocol.peers import Ended, Want
 from sagecove.protocol.users import Job
 from sagecove.storage.mirror import Event, Mirror
 from sagecove.storage.records import MEMBER
@@ -58,6 +58,7 @@
     def __init__(
         self,
         settings: Settings,
+        held: dict[str, Shard],
         books: Books,
         standing: Standing,
         mirror: Mirror,
@@ -66,6 +67,11 @@
         random: Random,
     ) -> None:
         self.nodes = settings.nodes
+        # Shards held here.
+        self.held = held
+        # By peer, what it has said of completed claims, and when.
+        self.told_ended: dict[str, tuple[list[Ended], float]] = {}
+        self.now = 0.0
         self.books = books
         self.standing = standing
         self.teams: dict[str, Team] = {t.name: t for t in settings.params.teams}
@@ -124,11 +130,46 @@
         q = account.settlement if account is not None else None
         return q is None or not within(q.limit, self.settling.configured[team])
 
+    def claims(self, team: str) -> dict[str, Amount]:
+        """What a team claims, by shard: as the records have it, less what holders have said, or
+        know here, to have completed since."""
+        found = dict(self.standing.claimed.get(team, {}))
+        for ended in self.ended:
+            if ended.team == team and ended.shard in found and ended.shard not in self.held:
+                found[ended.shard] = most(ZERO, minus(found[ended.shard], ended.amount))
+        for shard in self.held:
+            found[shard] = self.books.claimed_parts(shard, team)
+        return found
+
+    def completed(self) -> list[Ended]:
+        """Of teams near their limits: claims of shards held here that have completed, while the
+        records do not say so yet. A holder writes down completed tasks seconds later."""
+        out = []
+        for team in self.teams:
+            total, limit = self.standing.total(team), self.limit(team)
+            if total[0] < (1 - FAR) * limit[0] and total[1] < (1 - FAR) * limit[1]:
+                continue
+            table = self.standing.claimed.get(team, {})
+            for shard in self.held:
+                gone = minus(table.get(shard, ZERO), self.books.claimed_parts(shard, team))
+                if gone[0] > 0 or gone[1] > 0:
+                    out.append(Ended(team, shard, most(ZERO, gone)))
+        return out
+
+    @property
+    def ended(self) -> Iterable[Ended]:
+        """What peers have said lately of completed claims."""
+        for ended, at in self.told_ended.values():
+            if self.now - at < TOLD_POLLS * self.wants.poll_s:
+                yield from ended
+
     def left(self, team: str) -> Pair:
         """What of a team's limit nobody claims, anywhere (CPUs, GPUs)."""
         if team not in self.teams:
             return 0.0, 0.0
-        rest = minus(self.limit(team), self.standing.total(team))
+        rest = self.limit(team)
+        for amount in self.claims(team).values():
+            rest = minus(rest, amount)
         return rest[0] / PARTS, rest[1] / PARTS
 
     def excess(self, shard: str) -> dict[str, Pair]:
@@ -163,6 +204,10 @@
         target = plus(target, (step[0], step[1]))
         self.wants.feel(now, team, shard, job, target, self.share(shard, team))
 
+    def told_completed(self, now: float, node: str, ended: list[Ended]) -> None:
+        """All that a peer says of completed claims."""
+        self.told_ended[node] = ended, now
+
     def told(self, now: float, node: str, wants: list[Want]) -> None:
         """All that a peer wants."""
         self.wants.told(now, node, [want for want in wants if want.team in self.teams])
@@ -187,17 +232,13 @@
             if value is not None:
                 account.rows[shard] = value
             wanted = value.want if value is not None else None
-            if wanted is not None and wanted.shard not in self.held(team):
+            if wanted is not None and wanted.shard not in self.held:
                 self.wants.told(now, key, [wanted])
             else:
                 self.wants.theirs.pop(key, None)
             self.rows.changed(team, shard)
         self.settling.open.add(team)
 
-    def held(self, team: str) -> set[str]:
-        """Shards that want something here of a team's limit."""
-        return {shard for name, shard in self.wants.mine if name == team}
-
     def lost(self, shard: str) -> None:
         """A shard is held here no longer."""
         self.rows.lost(shard)
@@ -205,6 +246,7 @@
 
     def run(self, now: float, acting: list[Shard]) -> None:
         """After a pass: settle what changed, give what others need, let go of old wants."""
+        self.now = now
         self.wants.forget_old(now)
         self.rows.repeat()
         if self.settling.open:
@@ -225,7 +267,7 @@
     def _give(self, team: str, acting: list[Shard], wants: list[Want]) -> None:
         account = self.accounts[team]
         by_giver: dict[str, dict[str, Amount]] = {}
-        for gift in plan(account, self.standing.claimed.get(team, {}), wants):
+        for gift in plan(account, self.claims(team), wants):
             to = by_giver.setdefault(gift.giver, {})
             to[gift.to] = plus(to.get(gift.to, ZERO), gift.amount)
         for shard in acting:
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -105,6 +105,7 @@
         self.ends = Ends(self)
         self.limits = Limits(
             settings,
+            self.held,
             self.ledger,
             self.standing,
             self.mirror,
--- a/sagecove/coordination/peers.py
+++ b/sagecove/coordination/peers.py
@@ -91,6 +91,7 @@
             self.cancelled_lately,
             [job.id for job in self.owner.backlog.active.values() if job.blamed][:FEW],
             self.owner.limits.wants.here()[:FEW],
+            self.owner.limits.completed()[:FEW],
         )
         self.drain(hint)
         self.cancelled_lately = []
@@ -167,6 +168,7 @@
                 self.hungry[job_id] = (shard, count, self.owner.now)
             self.drain(hint)
             self._wanted(hint.node, hint.wants)
+            self.owner.limits.told_completed(self.owner.now, hint.node, hint.ended)
             for job_id in hint.failing:
                 if (job := self.owner.jobs.get(job_id)) is not None:
                     job.blamed_elsewhere_at = self.owner.now
--- a/sagecove/protocol/peers.py
+++ b/sagecove/protocol/peers.py
@@ -13,6 +13,15 @@
     target: tuple[int, int]
 
 
+class Ended(msgspec.Struct, frozen=True, array_like=True):
+    """Claims of a team in a shard that its record still has, though their tasks have completed
+    (CPUs and GPUs in millionths)."""
+
+    team: str
+    shard: str
+    amount: tuple[int, int]
+
+
 class Wants(msgspec.Struct):
     """All that a controller wants of teams' limits, told when it changes."""
 
@@ -45,6 +54,8 @@
     failing: list[str] = []
     # What shards held here want of teams' limits.
     wants: list[Want] = []
+    # Of teams near their limits.
+    ended: list[Ended] = []
 
 
 class Promise(msgspec.Struct):
