--- a/sagecove/coordination/claims/competing.py
+++ b/sagecove/coordination/claims/competing.py
@@ -235,7 +235,7 @@
                 count -= 1
 
     def claim(self, job: JobRun, shard: Shard, bits: int) -> None:
-        """Claim tasks for a shard, together with the allotment they need."""
+        """Claim tasks for a shard, within its share of the limit."""
         if job.home is not None:
             job.committing = True
             job.claiming = (shard.name, bits)
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -32,7 +32,7 @@
     """
 
     def claim(self, job: JobRun, shard: Shard, bits: int) -> None:
-        """Claim tasks for a shard, together with the allotment they need."""
+        """Claim tasks for a shard, within its share of the limit."""
 
     def release(self, job: JobRun, shard: Shard, bits: int) -> None:
         """Give claimed tasks back that are provably nowhere."""
