--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,8 +8,10 @@
 
 import pytest
 
+from sagecove.features import maker
 from sagecove.lab.deployment import REPORT_S, job
 from sagecove.lab.world import World
+from sagecove.sweeps.feature import Options
 
 GUESTS = {"name": "guests", "cpus": 0, "cpus_max": 0}
 
@@ -354,6 +356,36 @@
     assert shares(w, "red") == 24_000_000
 
 
+@pytest.mark.parametrize("point", range(0, 30, 2))
+def test_a_giver_dies_between_any_two_of_its_effects(point: int) -> None:
+    # What it has decided leaves one effect after the other, and it ends after so many of them.
+    w = world(3, 12, team("red", 0, 24))
+    for worker in w.workers.values():
+        worker.run_s = 3.0
+    emit, left = w.emit, [point]
+
+    def one_by_one(name: str, owner: Any, effects: list[Any]) -> None:
+        for effect in effects:
+            if name == "n0" and left[0] == 0 and name in w.owners:
+                w.kill(name)
+            if name == "n0":
+                left[0] -= 1
+            emit(name, owner, [effect])
+
+    w.emit = one_by_one  # type: ignore[method-assign]
+    gang = {"shape": "ensemble", "rank": "urgent", "hands": 8}
+    submit_all(w, job(1, **gang), job(2, hands=10), job(3, **gang), job(4, hands=10))
+    w.run(3)
+    if "n0" not in w.owners:
+        w.boot_node(0)
+    for number, spec in ((1, gang), (2, {"hands": 10}), (3, gang), (4, {"hands": 10})):
+        # Its user repeats what was not answered.
+        w.submit("n1", job(number, **spec))
+    w.until(lambda: len(w.completed) == 36, 90)
+    w.run(3)
+    assert left[0] < 0 and shares(w, "red") == 24_000_000
+
+
 def test_all_controllers_restart_and_shares_are_as_they_were() -> None:
     w = world(3, 18, team("red", 0, 36))
     for worker in w.workers.values():
@@ -380,6 +412,29 @@
     assert not [k for at, k, _ in w.state.changes if at > before and k.startswith("s/share/")]
 
 
+def test_points_of_a_sweep_are_counted_like_jobs_over_all_controllers() -> None:
+    # They have no records of their own: what they claim is their block's.
+    w = World(
+        nodes=3,
+        seed=3,
+        features=maker([("sweeps", Options())]),
+        teams=[team("blue", 0, 10), GUESTS],
+    )
+    for number in range(12):
+        w.cloud.start("small", "ab"[number % 2], False)
+    w.run(5)
+    spec = {key: value for key, value in job(1, outfit="blue").items() if key != "nameId"}
+    body = {"id": "run-s", "space": "x in 1..60", "job": spec}
+    assert w.user("n1", "POST", "/api/sweeps", body)[0] in (200, 201)
+    submit_all(w, job(7, outfit="blue", hands=10), job(8, outfit="blue", hands=10))
+    most = 0.0
+    for _ in range(100):
+        w.run(0.5)
+        most = max(most, use(w, "blue"))
+    assert most == 10
+    w.until(lambda: len(w.completed) == 80, 60)
+
+
 @pytest.mark.parametrize("nodes", [5, 9])
 def test_many_teams_with_limits_smaller_than_a_task_a_controller_share_the_room(nodes: int) -> None:
     # A controller that wanted all teams' limits for the same room gathered them, and none of the
