Among equals beyond guarantees, teams come first that borrow less for theirs

Change: arrays that are as urgent go by what their team borrows, in powers of two of its guarantee (a guest counts with a quarter of the smallest).

--- a/sagecove/coordination/explain.py
+++ b/sagecove/coordination/explain.py
@@ -196,6 +196,8 @@
     if first.priority != job.priority:
         return f"its priority is {first.spec.priority}"
     if first.order != job.order:
+        if first.order[0] == job.order[0] and first.order[1] != job.order[1]:
+            return "its team borrows less for the size of its guarantee"
         return "it can still be in time with less work left"
     return "it is older"
 
--- a/sagecove/coordination/learning.py
+++ b/sagecove/coordination/learning.py
@@ -102,17 +102,19 @@
     def rank(self, job: JobRun) -> None:
         """Order among arrays of equal standing. When there is more work than machines, serving in
         order of age makes everybody late; so what can still be in time goes first, the least work
-        first, and what cannot goes after it. Not for ever: what is twice overdue goes before both,
-        or a large job waited without end behind a stream of smaller ones."""
+        first, and what cannot goes after it. Beyond guarantees teams come first that borrow less
+        for the size of theirs. Not for ever: what is twice overdue goes before both, or a large
+        job waited without end behind a stream of smaller ones."""
         age = self.owner.wall() - job.at
         run = self.expected(job)
         dues = self.dues(job)
         if age > 2 * dues[-1]:
-            job.order = (-1, job.at)
+            job.order = (-1, 0, job.at)
             return
         feasible = any(age + run <= due for due in dues)
         work = job.unfinished.bit_count() * run * max(job.spec.cpus, 0.1)
-        job.order = (0, work) if feasible else (1, job.at)
+        level = 0 if job.within else self.owner.standing.level(job.spec.team)
+        job.order = (0, level, work) if feasible else (1, level, job.at)
 
     def settle(self, job: JobRun) -> None:
         """Where a service may go: not on machines with GPUs if others suit it, since it would keep
--- a/sagecove/coordination/limits/standing.py
+++ b/sagecove/coordination/limits/standing.py
@@ -6,10 +6,15 @@
 
 from __future__ import annotations
 
+from math import log2
+
 from sagecove.config import Team
 from sagecove.coordination.limits.records import ZERO, Amount, minus, most, plus
 from sagecove.coordination.model import PARTS, JobRun, parts
 
+# A team without a guarantee counts with this part of the smallest guarantee.
+GUESTS = 0.25
+
 
 class Standing:
     """Claims by team and shard (CPUs, GPUs in millionths)."""
@@ -17,6 +22,14 @@
     def __init__(self, teams: dict[str, Team]) -> None:
         self.teams = teams
         self.claimed: dict[str, dict[str, Amount]] = {}
+        # What a team without a guarantee counts with: a part of the smallest.
+        self.least = [
+            int(GUESTS * min((parts(a) for a in amounts if a > 0), default=0))
+            for amounts in (
+                [team.cpus for team in teams.values()],
+                [team.gpus for team in teams.values()],
+            )
+        ]
         # By team: what all its claims come to.
         self.totals: dict[str, Amount] = {}
 
@@ -57,6 +70,20 @@
         """All that a team claims."""
         return self.totals.get(team, ZERO)
 
+    def level(self, team: str) -> int:
+        """How much a team borrows for the size of its guarantee, in powers of two: what is unused
+        is shared so, within a factor of two, among work of equal standing. A team without a
+        guarantee counts with a part of the smallest there is: last, but never nothing."""
+        known = self.teams.get(team)
+        if known is None:
+            return 0
+        out = 0.0
+        for n, owed in enumerate((known.cpus, known.gpus)):
+            weight = parts(owed) or self.least[n]
+            if weight:
+                out = max(out, (self.total(team)[n] - parts(owed)) / weight)
+        return int(log2(1 + out)) if out > 0 else 0
+
     def borrowers(self, team: str) -> dict[str, Amount]:
         """Other teams that claim more than their guarantees, and by how much."""
         out = {}
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -117,7 +117,7 @@
         self.off: frozenset[str] = frozenset()
         self.lacking_since: float | None = None
         # Among jobs of equal standing: see `Owner.rank`.
-        self.order = (0, 0.0)
+        self.order: tuple[int, int, float] = (0, 0, 0.0)
         # Durable sets, from the record.
         self.fin = 0
         self.claims: dict[str, int] = {}
@@ -221,7 +221,7 @@
         )
 
 
-def precedence(job: JobRun) -> tuple[bool, bool, int, int, float, float]:
+def precedence(job: JobRun) -> tuple[bool, bool, int, int, int, float, float]:
     """Order of claims: production, then guarantees, then priority; among equals as `Learning.rank`
     has it, and by age."""
     return *standing(job), *job.order, job.at
@@ -319,6 +319,8 @@
         # Tasks as last told, and whether there is nothing to be done here but to hear the same.
         self.told = b""
         self.settled = False
+        # It is being handed to another shard, or may be: nothing is started on it.
+        self.handing = False
         self.used = [0.0, 0.0, 0.0]
         self.calling = 0
 
@@ -347,6 +349,7 @@
             and not self.record.leaving
             and not self.notice
             and not self.sick
+            and not self.handing
             and not self.murky
             and self.kind is not None
         )
--- a/sagecove/coordination/ports.py
+++ b/sagecove/coordination/ports.py
@@ -60,9 +60,20 @@
         """The order of arrays."""
 
 
+class Levels(Protocol):
+    """What teams borrow."""
+
+    def level(self, team: str) -> int:
+        """How much a team borrows for the size of its guarantee, in powers of two."""
+
+
 class Learned(Clock, Protocol):
     """What learning asks of its surroundings."""
 
+    @property
+    def standing(self) -> Levels:
+        """What teams borrow."""
+
     types: dict[str, MachineType]
     held: dict[str, Shard]
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -265,6 +265,26 @@
     assert abs(gave[0] - 2 * sum(gave) / 3) <= 2 * len(w.owners)
 
 
+def test_borrowers_share_by_their_guarantees_and_guests_have_something() -> None:
+    # Without the account the least work went first, whoever it was of.
+    w = world(3, 20, team("x", 4, 80), team("y", 12, 80))
+    for worker in w.workers.values():
+        worker.run_s = 3.0
+    for name, first in (("x", 100), ("y", 200), ("guests", 300)):
+        # Those of the team that is to have most are the largest.
+        hands = {"x": 10, "y": 30, "guests": 5}[name]
+        submit_all(
+            w, *(job(first + n, outfit=name, hands=hands, dueS=600.0) for n in range(900 // hands))
+        )
+    w.run(15)
+    begun = len(w.starts)
+    w.run(25)
+    had = {"x": 0, "y": 0, "guests": 0}
+    for _, task, _ in w.starts[begun:]:
+        had[w.specs[task.split("/")[0]]["outfit"]] += 1
+    assert 1.2 < had["y"] / had["x"] < 6 and 0 < had["guests"] < had["x"]
+
+
 def test_what_is_owed_and_from_whom_is_told() -> None:
     w = world(3, 9, team("red", 12, 36), team("x", 4, 36))
     fill(w, 36)
