--- /dev/null
+++ b/sagecove/coordination/handover/__init__.py
@@ -0,0 +1,1 @@
+"""Shards and machines that change hands."""
--- a/sagecove/coordination/inventory.py
+++ b/sagecove/coordination/inventory.py
@@ -78,6 +78,7 @@
                 machine.reset(self.desk.now)
             machine.record = record
             machine.stamp = event.stamp
+            machine.handing = False
         self._set_kind(machine)
         self.desk.by_shard.setdefault(record.shard, {})[name] = machine
         if record.leaving:
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -16,6 +16,7 @@
 from sagecove.coordination.effects import Answered, Call, Command, Effect
 from sagecove.coordination.ends import Ends
 from sagecove.coordination.failures import Failures
+from sagecove.coordination.handover.calls import Calls
 from sagecove.coordination.inventory import Inventory
 from sagecove.coordination.leadership import Leadership
 from sagecove.coordination.learning import Learning
@@ -117,6 +118,7 @@
         self.failures = Failures(self)
         self.workers = Workers(self)
         self.inventory = Inventory(self, self.ledger, self.workers, self.shards)
+        self.calls = Calls(self, self.ledger, self.limits, self.backlog, self.shards, self.sync)
         self.upkeep = Upkeep(
             self, self.shards, self.workers, self.learning, self.backlog, self._why
         )
@@ -206,6 +208,7 @@
         self.workers.raise_tokens()
         self.provision.tick(now)
         self.upkeep.return_idle(now)
+        self.calls.tick(now)
         self.peers.tell(now)
         self.peers.tell_wants(now)
         if self.leadership.provisioner_term:
--- a/sagecove/coordination/peers.py
+++ b/sagecove/coordination/peers.py
@@ -92,6 +92,7 @@
             [job.id for job in self.owner.backlog.active.values() if job.blamed][:FEW],
             self.owner.limits.wants.here()[:FEW],
             self.owner.limits.completed()[:FEW],
+            self.owner.calls.mine[:FEW],
         )
         self.drain(hint)
         self.cancelled_lately = []
@@ -168,6 +169,8 @@
                 self.hungry[job_id] = (shard, count, self.owner.now)
             self.drain(hint)
             self._wanted(hint.node, hint.wants)
+            for call in hint.calls:
+                self.owner.calls.called(self.owner.now, call)
             self.owner.limits.told_completed(self.owner.now, hint.node, hint.ended)
             for job_id in hint.failing:
                 if (job := self.owner.jobs.get(job_id)) is not None:
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -464,7 +464,9 @@
         """Hand a machine to the provisioner for deletion. Nothing is placed on it any more."""
         owner = self.owner
         shard = owner.held.get(machine.record.shard)
-        if shard is None or shard.yielding or machine.committing or owner.now < machine.leave_at:
+        if shard is None or shard.yielding or machine.handing:
+            return
+        if machine.committing or owner.now < machine.leave_at:
             return
         old = machine.record
         record = msgspec.structs.replace(old, leaving=reason)
--- a/sagecove/protocol/peers.py
+++ b/sagecove/protocol/peers.py
@@ -22,6 +22,16 @@
     amount: tuple[int, int]
 
 
+class RoomCall(msgspec.Struct, frozen=True, array_like=True):
+    """A gang fits in no single shard: the one it is served in lacks room for so many of its tasks
+    (in one zone, or in any)."""
+
+    job: str
+    shard: str
+    zone: str
+    tasks: int
+
+
 class Wants(msgspec.Struct):
     """All that a controller wants of teams' limits, told when it changes."""
 
@@ -56,6 +66,8 @@
     wants: list[Want] = []
     # Of teams near their limits.
     ended: list[Ended] = []
+    # Gangs that idle machines of others would serve.
+    calls: list[RoomCall] = []
 
 
 class Promise(msgspec.Struct):
