--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -89,7 +89,7 @@
 
 
 def test_teams_that_claim_their_guarantees_at_once_stop_no_more_than_they_need() -> None:
-    # Room made for one was taken by another, which left the last waiting 15 s for its own; still 6 s
+    # Room made for one was taken by another, which left the last waiting 15 s for its own, and 6 s
     # at nine controllers when it was only made anew.
     teams = [team(f"t{n}", 20, 60) for n in range(10)]
     w = world(9, 60, *teams)
