--- a/sagecove/coordination/leadership.py
+++ b/sagecove/coordination/leadership.py
@@ -227,6 +227,9 @@
                 # Only its part of the limits is wanted: a controller that has not come up yet, or
                 # comes back, is waited for as long as one that is silent.
                 patience = self.length
+            # Who has taken one already leaves the next to others: of five controllers two ended, and
+            # one of the three that were left took both shards.
+            patience += self._foreign() * self.length / 16
             if now >= since + patience and now < self.acting_until():
                 self._take(name)
         if PROVISIONER not in owner.mirror.items and self.lease is not None:
@@ -245,6 +248,13 @@
         else:
             self.missing_since.pop(PROVISIONER, None)
 
+    def _foreign(self) -> int:
+        """Shards of others that are held here, or about to be."""
+        node = self.owner.settings.node
+        names = {name for name in self.owner.held if name != node}
+        taking = {key.removeprefix(HOLDER) for key in self.busy if key.startswith(HOLDER)}
+        return len(names | (taking - {node}))
+
     def check_holders(self) -> None:
         """Gain and lose shards by what the mirror says of their holders."""
         owner = self.owner
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -126,3 +126,16 @@
     owner.calls.called(w.now, structs.replace(calls["run-000002"], shard=other))
     assert not any(m.handing for m in owner.by_shard[home].values())
     w.until(lambda: len(w.completed) == 41, 90)
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_shards_of_controllers_that_end_together_go_to_different_survivors(seed: int) -> None:
+    # One of the three that were left took both, in each of these plays.
+    w = World(nodes=5, seed=seed)
+    for number in range(20):
+        w.cloud.start("small", "ab"[number % 2], False)
+    w.run(4 + seed / 10)
+    w.kill("n1")
+    w.kill("n3")
+    w.until(lambda: {"n1", "n3"} <= {s for o in w.owners.values() for s in o.held}, 20)
+    assert max(len(owner.held) for owner in w.owners.values()) == 2
