--- a/sagecove/coordination/leadership.py
+++ b/sagecove/coordination/leadership.py
@@ -227,8 +227,8 @@
                 # Only its part of the limits is wanted: a controller that has not come up yet, or
                 # comes back, is waited for as long as one that is silent.
                 patience = self.length
-            # Who has taken one already leaves the next to others: of five controllers two ended, and
-            # one of the three that were left took both shards.
+            # Who has taken one already leaves the next to others: of five controllers two ended,
+            # and one of the three that were left took both shards.
             patience += self._foreign() * self.length / 16
             if now >= since + patience and now < self.acting_until():
                 self._take(name)
