--- a/sagecove/coordination/claims/passes.py
+++ b/sagecove/coordination/claims/passes.py
@@ -200,7 +200,7 @@
                 continue
             if self.limits.claimable(shard.name, spec, 1):
                 out += self.backlog.first(group, now)
-            elif self.ground.making:
+            elif self.ground.making and self.limits.obtainable(spec, 1):
                 # A share of the limit may be all that the first of them lacks.
                 out += self.backlog.first(group, now, 1)
         return out
--- a/sagecove/coordination/limits/limits.py
+++ b/sagecove/coordination/limits/limits.py
@@ -172,6 +172,8 @@
 
     def obtainable(self, spec: Job, wanted: int) -> int:
         """How many more tasks of this kind a team's limit has room for, wherever that is."""
+        if spec.team not in self.teams:
+            return 0
         left, limit = self.left(spec.team), self.limit(spec.team)
         # What has just completed elsewhere is not known here yet.
         room = [round(left[n] * PARTS) + int(limit[n] * LAG) for n in (0, 1)]
@@ -276,8 +278,27 @@
                 row.want = want
                 self.rows.put(want.team, shard, row)
 
+    def _may_give(self, team: str, acting: list[Shard], wants: list[Want]) -> bool:
+        """Something that is wanted is to spare in a shard held here: most teams at their limits
+        are wanted more of all the time, and a plan for each of them would cost most of a pass."""
+        account = self.accounts[team]
+        lacking = [False, False]
+        for want in wants:
+            share = account.share(want.shard)
+            for n in (0, 1):
+                lacking[n] = lacking[n] or want.target[n] > share[n]
+        if not any(lacking):
+            return False
+        for shard in acting:
+            rest = minus(account.share(shard.name), self.committed(shard.name, team))
+            if any(lacking[n] and rest[n] > 0 for n in (0, 1)):
+                return True
+        return False
+
     def _give(self, team: str, acting: list[Shard], wants: list[Want]) -> None:
         account = self.accounts[team]
+        if not self._may_give(team, acting, wants):
+            return
         by_giver: dict[str, dict[str, Amount]] = {}
         for gift in plan(account, self.claims(team), wants):
             to = by_giver.setdefault(gift.giver, {})
