A claim is one write; a gang's home is counted in one place

Found by a last reading, behaviour as before: since claims touch no amount their changes and conditions were a pair of lists with nothing in one; Calls.home counted machines as Shards does, which now serves both; claims ahead asked what others borrow where nothing is claimed ahead; explain worked out Stopping's bound and asked for a team that left knows.

--- a/sagecove/coordination/claims/competing.py
+++ b/sagecove/coordination/claims/competing.py
@@ -84,8 +84,10 @@
                 break
             old += 1
         ahead = int(share * (len(job.placed) - old))
-        borrowed = self.limits.standing.borrowed_by_others(job.spec.team) if job.within else 0.0
-        if ahead > 0 and borrowed > 0:
+        if ahead <= 0 or not job.within:
+            return ahead
+        borrowed = self.limits.standing.borrowed_by_others(job.spec.team)
+        if borrowed > 0:
             # Tasks that were started together end together. Claimed ahead by what ends on average,
             # the last of a guarantee waited here for a whole run while others held what was owed:
             # for as many as could have that, only what ends in time counts.
@@ -246,11 +248,10 @@
             self.ledger.claims(job)
             job.home.claim(job, shard, bits)
             return
-        made = self.claim_changes(shard, job, bits)
-        if made is None:
+        change = self.claim_change(shard, job, bits)
+        if change is None:
             job.claim_after = self.desk.now + self.ground.poll_s / 2
             return
-        changes, conditions = made
         self.open_claims += 1
         job.committing = True
         job.claiming = (shard.name, bits)
@@ -276,8 +277,8 @@
                     self.desk.now + self.desk.random.uniform(0.1, 1.0) * self.ground.poll_s
                 )
 
-        conditions += [(JOB + job.id, job.stamp), (HOLDER + shard.name, shard.term)]
-        self.desk.commit(conditions, changes, done)
+        conditions = [(JOB + job.id, job.stamp), (HOLDER + shard.name, shard.term)]
+        self.desk.commit(conditions, [change], done)
 
     def _turn(self, job: JobRun) -> float:
         """When to come back to a job's record: those who were beaten to it come one after the
@@ -286,17 +287,15 @@
         turn = nodes.index(self.desk.settings.node)
         return turn + self.desk.random.uniform(0.5, 1.0)
 
-    def claim_changes(
-        self, shard: Shard, job: JobRun, bits: int
-    ) -> tuple[list[wire.Put | wire.Drop], list[tuple[str, int]]] | None:
-        """Changes and conditions of a claim; None where the shard's share of its team's limit
-        stands against it."""
+    def claim_change(self, shard: Shard, job: JobRun, bits: int) -> wire.Put | None:
+        """The write of a claim; None where the shard's share of its team's limit stands against
+        it."""
         count = bits.bit_count()
         if self.limits.claimable(shard.name, job.spec, count) < count:
             return None
         claims = dict(job.claims)
         claims[shard.name] = claims.get(shard.name, 0) | bits
-        return [wire.Put(JOB + job.id, job.with_sets(job.fin, claims))], []
+        return wire.Put(JOB + job.id, job.with_sets(job.fin, claims))
 
     def claim_alike(
         self, now: float, shard: Shard, jobs: list[JobRun], promised: Room
--- a/sagecove/coordination/explain.py
+++ b/sagecove/coordination/explain.py
@@ -13,7 +13,7 @@
 from sagecove.coordination.model import PARTS, JobRun, Machine, parts, precedence
 from sagecove.coordination.placement import type_allowed
 from sagecove.coordination.ports import Desk, Judge
-from sagecove.coordination.stopping import GUARANTEE_REPORTS
+from sagecove.coordination.stopping import Stopping
 from sagecove.protocol import workers as w
 from sagecove.protocol.views import Cluster, Explanation, MachineView, ShardView, TeamView
 from sagecove.storage.mirror import Mirror
@@ -49,6 +49,7 @@
 
     mirror: Mirror
     limits: Limits
+    stopping: Stopping
 
     @property
     def failures(self) -> Judge:
@@ -142,8 +143,7 @@
     sources = owner.limits.standing.sources(spec.team, lack)
     if not sources:
         return [f"{count} tasks are owed to team {spec.team}; nobody borrows what they need"]
-    left = GUARANTEE_REPORTS * owner.settings.params.workers.report_s
-    left = max(0.0, left - (owner.wall() - job.at))
+    left = max(0.0, owner.stopping.guarantee_s - (owner.wall() - job.at))
     whom = ", ".join(
         f"{name} ({amount[0] / PARTS:g} CPUs"
         + (f", {amount[1] / PARTS:g} GPUs)" if amount[1] else ")")
@@ -158,8 +158,7 @@
     out = []
     count = job.unclaimed.bit_count()
     need = count if job.whole else 1
-    team = owner.limits.teams.get(spec.team)
-    spare = owner.limits.left(spec.team) if team is not None else (0.0, 0.0)
+    spare = owner.limits.left(spec.team)
     if need * spec.cpus > spare[0] or need * spec.gpus > spare[1]:
         out.append(f"{count} tasks wait for team {spec.team}'s limit")
     fitting = {t.name for t in owner.types.values() if type_allowed(spec, t)}
--- a/sagecove/coordination/handover/calls.py
+++ b/sagecove/coordination/handover/calls.py
@@ -18,7 +18,7 @@
 from sagecove.coordination.ledger import Ledger
 from sagecove.coordination.limits.limits import Limits
 from sagecove.coordination.model import JobRun, Machine, Shard, precedence
-from sagecove.coordination.placement import machine_allowed, slots, suits
+from sagecove.coordination.placement import slots, suits
 from sagecove.coordination.ports import TICK_S, Desk, Syncing, Territory
 from sagecove.protocol import state as wire
 from sagecove.protocol.peers import RoomCall
@@ -81,18 +81,9 @@
             # Another shard that is held here gives as well.
             self.called(now, call)
 
-    def home(self, job: JobRun) -> str | None:
+    def home(self, job: JobRun) -> str:
         """The shard that a gang is served in: the one with most machines for it."""
-        known = self.shards.gang_home(job)
-        if known is not None:
-            return known
-        counts = dict.fromkeys(sorted(self.desk.settings.nodes), 0)
-        for shard, machines in self.desk.by_shard.items():
-            if shard in counts:
-                counts[shard] = sum(
-                    not m.record.leaving and machine_allowed(job.spec, m) for m in machines.values()
-                )
-        return max(counts, key=lambda n: counts[n])
+        return self.shards.gang_home(job) or self.shards.most_machines(job.spec)
 
     def _call(self, job: JobRun, home: str) -> RoomCall | None:
         spec = job.spec
--- a/sagecove/coordination/ports.py
+++ b/sagecove/coordination/ports.py
@@ -12,6 +12,7 @@
 from sagecove.coordination.model import JobRun, Machine, Placement, Shard
 from sagecove.protocol import state as wire
 from sagecove.protocol.cloud import MachineType
+from sagecove.protocol.users import Job
 from sagecove.storage.mirror import Event
 from sagecove.storage.store import Result
 
@@ -122,6 +123,9 @@
     def gang_home(self, job: JobRun) -> str | None:
         """The shard that a gang of whole machines belongs to."""
 
+    def most_machines(self, spec: Job) -> str:
+        """The shard with most machines that a job may use."""
+
 
 class Syncing(Protocol):
     """The mirror's upkeep."""
--- a/sagecove/coordination/shards.py
+++ b/sagecove/coordination/shards.py
@@ -119,6 +119,10 @@
         types = [t for t in self.owner.types.values() if type_allowed(spec, t)]
         if not types or not all(fills_most(spec, t) for t in types):
             return None
+        return self.most_machines(spec)
+
+    def most_machines(self, spec: Job) -> str:
+        """The shard with most machines that a job may use."""
         counts = dict.fromkeys(sorted(self.owner.settings.nodes), 0)
         for shard, machines in self.owner.by_shard.items():
             if shard in counts:
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -169,8 +169,8 @@
             owner.learning.settle(run)
         claimed = self._claim_now(run)
         if claimed is not None:
-            changes = claimed[0] + more
-            conditions += claimed[1]
+            changes = [claimed[0], *more]
+            conditions.append(claimed[1])
 
         def done(result: Result) -> None:
             if result.outcome is Outcome.CONFLICT and claimed is not None:
@@ -204,9 +204,7 @@
 
         owner.commit(conditions, changes, done, urgent=True)
 
-    def _claim_now(
-        self, job: JobRun
-    ) -> tuple[list[wire.Put | wire.Drop], list[tuple[str, int]]] | None:
+    def _claim_now(self, job: JobRun) -> tuple[wire.Put, tuple[str, int]] | None:
         owner = self.owner
         node = owner.settings.node
         shard = owner.held.get(node)
@@ -231,11 +229,8 @@
         if not count or (job.whole and count < job.spec.tasks):
             return None
         bits = taskset.lowest(job.every, count)
-        made = claims.competing.claim_changes(shard, job, bits)
-        if made is None:
-            return None
-        changes, conditions = made
-        return changes, [*conditions, (HOLDER + node, shard.term)]
+        change = claims.competing.claim_change(shard, job, bits)
+        return None if change is None else (change, (HOLDER + node, shard.term))
 
     def status(self, job_id: str, exchange: Any) -> None:
         """GET a job."""
