Who held a shard last is on record: controllers back after their leases act at once

A record beside the key, on no lease and written with it, says who held the shard last; its namesake, whose earlier process is dead, takes it at once. Others' shards are not taken before one's own promises are over.

--- a/sagecove/coordination/leadership.py
+++ b/sagecove/coordination/leadership.py
@@ -17,9 +17,11 @@
 from sagecove.protocol.peers import Promise
 from sagecove.storage.records import (
     HOLDER,
+    LAST,
     MEMBER,
     PROVISIONER,
     HolderRecord,
+    LastRecord,
     MemberRecord,
 )
 from sagecove.storage.store import Outcome, Result, decode
@@ -195,14 +197,27 @@
                 self.missing_since[shard] = owner.now + owner.random.uniform(0, self.length / 16)
 
         node = owner.settings.node
-        stamp = owner.mirror.stamp(key)
+        last = LAST + shard
+        conditions = [(key, owner.mirror.stamp(key)), (last, owner.mirror.stamp(last))]
+        before = owner.mirror.items.get(key)
+        mine = (before.value.node if before else self._last_holder(shard)) == node
         # Nobody else can be acting for it if this node was its last holder, or if there is nothing
         # to act for.
-        before = owner.mirror.items.get(key)
-        vacated = before is not None and before.value.node == node
-        vacated = vacated or not owner.shards.shard_in_use(shard)
-        put = wire.Put(key, HolderRecord(node, self.lease, vacated), self.lease)
-        owner.commit([(key, stamp)], [put], done, urgent=True)
+        vacated = mine or not owner.shards.shard_in_use(shard)
+        changes: list[wire.Put | wire.Drop] = [
+            wire.Put(key, HolderRecord(node, self.lease, vacated), self.lease)
+        ]
+        if self._last_holder(shard) != node:
+            changes.append(wire.Put(last, LastRecord(node)))
+        owner.commit(conditions, changes, done, urgent=True)
+
+    def _last_holder(self, shard: str) -> str | None:
+        """Who held a shard last. Its key ends with its holder's lease, and a controller that comes
+        back after that once took its own shard for one that somebody may be acting for: it waited
+        for one lease, and all its workers' leases ended meanwhile. This record stays; it is written
+        with the key, so whoever takes the shard in between makes a transaction on it fail."""
+        item = self.owner.mirror.items.get(LAST + shard)
+        return item.value.node if item is not None and item.value is not None else None
 
     def _take_missing(self, now: float) -> None:
         owner = self.owner
@@ -230,7 +245,11 @@
             # Who has taken one already leaves the next to others: of five controllers two ended,
             # and one of the three that were left took both shards.
             patience += self._foreign() * self.length / 16
-            if now >= since + patience and now < self.acting_until():
+            # Before its own promises are over it could not act for the shard: taken all the same,
+            # by the first of several controllers that came back together, it was of no use to
+            # anybody, its namesake included, until they were.
+            able = now >= self.given_until or self._last_holder(name) == node or unused
+            if able and now >= since + patience and now < self.acting_until():
                 self._take(name)
         if PROVISIONER not in owner.mirror.items and self.lease is not None:
             since = self.missing_since.setdefault(
@@ -304,11 +323,15 @@
             # the transaction: it may be executed long after it was sent.
             shard.yielding = True
             self.busy.add(key)
+            changes: list[wire.Put | wire.Drop] = []
             if item is not None and item.value is not None:
-                put = wire.Put(key, HolderRecord(name, item.value.lease, True), item.value.lease)
+                lease = item.value.lease
+                changes.append(wire.Put(key, HolderRecord(name, lease, True), lease))
+                changes.append(wire.Put(LAST + name, LastRecord(name)))
             else:
                 assert self.lease is not None
-                put = wire.Put(key, HolderRecord(owner.settings.node, self.lease, True), self.lease)
+                node, lease = owner.settings.node, self.lease
+                changes.append(wire.Put(key, HolderRecord(node, lease, True), lease))
 
             def done(result: Result, key: str = key, name: str = name) -> None:
                 self.busy.discard(key)
@@ -316,4 +339,4 @@
                     self.namesake_since.pop(name, None)
                 owner.sync.want_sync()
 
-            owner.commit([(key, shard.term)], [put], done, urgent=True)
+            owner.commit([(key, shard.term)], changes, done, urgent=True)
--- a/sagecove/lab/models.py
+++ b/sagecove/lab/models.py
@@ -394,7 +394,7 @@
         names = self.world.controllers()
         if names:
             self.node = next((n for n in names if n > self.node), names[0])
-            self.world.later(1.0, self.send)
+        self.world.later(1.0, self.send)
 
     def commands(self, body: dict[str, Any]) -> tuple[int, bytes]:
         self.check_lease()
--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -55,6 +55,8 @@
         # what it decided leaves only afterwards.
         self.still: dict[str, float] = {}
         self.decided: dict[str, float] = {}
+        # Controllers that have ended refuse connections; else they are silent, as without power.
+        self.refuses = False
         self.nodes = nodes
         for i in range(nodes):
             self.boot_node(i)
@@ -114,7 +116,7 @@
         ask()
 
     def controllers(self) -> list[str]:
-        return sorted(self.owners)
+        return sorted(self.owners) or sorted(self.inbox)
 
     # -- controllers ----------------------------------------------------------------------------
 
@@ -201,6 +203,8 @@
         if node in self.owners and not (path == "/hello" and node in self.deaf):
             raw = body if isinstance(body, bytes) else json.dumps(body).encode()
             self.inbox[node].append(Asked(method, path, raw, answer))
+        elif node not in self.owners and self.refuses:
+            self.later(0.01, lambda: answer(None, b""))
 
     def user(self, node: str, method: str, path: str, body: Any = b"") -> tuple[int, Any]:
         """A user's request, waited for."""
--- a/sagecove/storage/records.py
+++ b/sagecove/storage/records.py
@@ -17,6 +17,7 @@
 JOB = "s/job/"
 MACHINE = "s/machine/"
 HOLDER = "s/holder/"
+LAST = "s/last/"
 MEMBER = "s/member/"
 RENTAL = "s/rental/"
 TYPES = "s/types"
@@ -65,6 +66,12 @@
     vacated: bool = False
 
 
+class LastRecord(msgspec.Struct):
+    """Who held a shard last: on no lease, so that it outlives the holder's key."""
+
+    node: str
+
+
 class MemberRecord(msgspec.Struct, omit_defaults=True):
     """A controller that is up; its lease id lets others hand it a shard in one write."""
 
@@ -93,6 +100,7 @@
     (JOB, JobRecord),
     (MACHINE, MachineRecord),
     (HOLDER, HolderRecord),
+    (LAST, LastRecord),
     (MEMBER, MemberRecord),
     (RENTAL, RentalRecord),
     (PROVISIONER, HolderRecord),
