Guarantees of GPUs alone: what is within, borrowed and given back counts by the resource named

Teams guaranteed and limited in GPUs only were compared with a guarantee of 0 CPUs: no job was ever within, all CPUs of every team counted as borrowed from all others. A resource of which none is guaranteed no longer bounds the other, nor is it owed by it; CPUs that come with guaranteed GPUs are owed with them. The same where CPUs stood for the amount: what a service's team holds back at its limit, arrays rented for beyond a limit of GPUs, steps of an unlimited share, cluster and explain.

--- a/sagecove/cli.py
+++ b/sagecove/cli.py
@@ -137,6 +137,21 @@
     return line
 
 
+def _amounts(team: dict[str, Any], what: str) -> str:
+    """A team's CPUs or GPUs against its guarantee and limit."""
+    most = team[f"most_{what}"]
+    text = (
+        f"{team[what]:g} {what[:-1].upper()}s of {team[f'guaranteed_{what}']:g} guaranteed,"
+        f" {'no limit' if most is None else f'at most {most:g}'},"
+        f" {team[f'borrowed_{what}']:g} borrowed"
+    )
+    if team.get(f"owed_{what}"):
+        text += f", {team[f'owed_{what}']:g} owed"
+    if team.get(f"lent_{what}"):
+        text += f", {team[f'lent_{what}']:g} of it unused"
+    return text
+
+
 def _show_cluster(answer: dict[str, Any]) -> str:
     lines = [
         f"up: {', '.join(answer['up']) or '-'}; {answer['machines']} machines;"
@@ -149,17 +164,9 @@
             f" (term {shard['term']}{since}), {shard['machines']} machines"
         )
     for team in answer["teams"]:
-        most = "no limit" if team["most_cpus"] is None else f"at most {team['most_cpus']:g}"
-        text = (
-            f"team {team['name']}: {team['cpus']:g} CPUs of {team['guaranteed_cpus']:g}"
-            f" guaranteed, {most}, {team['borrowed_cpus']:g} borrowed"
-        )
+        text = f"team {team['name']}: {_amounts(team, 'cpus')}"
         if team["gpus"] or team["guaranteed_gpus"]:
-            text += f"; {team['gpus']:g} GPUs of {team['guaranteed_gpus']:g}"
-        if team.get("owed_cpus"):
-            text += f", {team['owed_cpus']:g} owed"
-        if team.get("lent_cpus"):
-            text += f", {team['lent_cpus']:g} of it unused"
+            text += f"; {_amounts(team, 'gpus')}"
         lines.append(f"{text}; {team['waiting_tasks']} tasks wait")
     lines += [
         f"machine {m['name']} ({m['type']}, {m['zone']}, shard {m['shard']}): {m['state']}"
--- a/sagecove/coordination/claims/competing.py
+++ b/sagecove/coordination/claims/competing.py
@@ -87,13 +87,16 @@
         if ahead <= 0 or not job.within:
             return ahead
         borrowed = self.limits.standing.borrowed_by_others(job.spec.team)
-        if borrowed > 0:
+        spec = job.spec
+        # Tasks that could have what is borrowed: by the resource they are short of.
+        needs = zip(borrowed, (spec.cpus, spec.gpus), strict=True)
+        if most := max((int(amount / each) for amount, each in needs if each > 0), default=0):
             # Tasks that were started together end together. Claimed ahead by what ends on average,
             # the last of a guarantee waited here for a whole run while others held what was owed:
             # for as many as could have that, only what ends in time counts.
             ending = self.desk.now + self.ahead_s - run
             surely = sum(begun <= p.started_at <= ending for p in job.placed.values())
-            ahead = max(surely, ahead - int(borrowed / max(job.spec.cpus, 0.1)))
+            ahead = max(surely, ahead - most)
         return ahead
 
     def fitting(self, job: JobRun, shard: str, machines: list[Machine], promised: Room) -> int:
--- a/sagecove/coordination/claims/making.py
+++ b/sagecove/coordination/claims/making.py
@@ -79,22 +79,25 @@
         ):
             return
         spare = self.limits.left(spec.team)
-        lack = max(held[0] - spare[0], 0.0) / len(self.desk.settings.nodes)
-        if lack <= 0:
+        # Of either resource: at a limit of GPUs alone nothing was ever stopped for a service.
+        nodes = len(self.desk.settings.nodes)
+        lack = [max(h - s, 0.0) / nodes for h, s in zip(held, spare, strict=True)]
+        if not _lacks(lack):
             return
         victims = [
             p
             for other in self.ledger.running(shard.name)
             if other.array and other.spec.team == spec.team and other.priority < job.priority
+            if (lack[0] > EPS and other.spec.cpus) or (lack[1] > EPS and other.spec.gpus)
             for p in other.placed.values()
             if p.live and p.halt is None and p.machine.record.shard == shard.name
         ]
         victims.sort(key=lambda p: -p.started_at)
         for p in victims:
-            if lack <= 0:
+            if not _lacks(lack):
                 break
             assert p.job is not None
-            lack -= p.job.spec.cpus
+            lack = [lack[0] - p.job.spec.cpus, lack[1] - p.job.spec.gpus]
             job.trim_after = now + 4 * self.ground.poll_s
             self.workers.halt(p, p.job.grace_s, job.id)
 
@@ -279,6 +282,11 @@
         return max(0, making - ceil(self.ground.pledged / max(spec.cpus, 0.1)))
 
 
+def _lacks(amounts: list[float]) -> bool:
+    """There is something of either resource."""
+    return any(amount > EPS for amount in amounts)
+
+
 def _last(p: Placement) -> tuple[bool, bool, int, float]:
     """The order in which tasks are stopped when their team's limit is lowered."""
     assert p.job is not None
--- a/sagecove/coordination/claims/passes.py
+++ b/sagecove/coordination/claims/passes.py
@@ -251,10 +251,11 @@
     if not arrays:
         return machines
     cpus = min(spec.cpus for spec in arrays) - EPS
+    gpus = min(spec.gpus for spec in arrays) - EPS
     memory = min(spec.memory_gb for spec in arrays) - EPS
     out = []
     for machine in machines:
         free = machine.free()
-        if free[0] >= cpus and free[2] >= memory:
+        if free[0] >= cpus and free[1] >= gpus and free[2] >= memory:
             out.append(machine)
     return out
--- a/sagecove/coordination/explain.py
+++ b/sagecove/coordination/explain.py
@@ -10,6 +10,7 @@
 
 from sagecove.config import UNLIMITED
 from sagecove.coordination.limits.limits import Limits
+from sagecove.coordination.limits.records import Amount
 from sagecove.coordination.model import PARTS, JobRun, Machine, parts, precedence
 from sagecove.coordination.placement import type_allowed
 from sagecove.coordination.ports import Desk, Judge
@@ -144,15 +145,16 @@
     if not sources:
         return [f"{count} tasks are owed to team {spec.team}; nobody borrows what they need"]
     left = max(0.0, owner.stopping.guarantee_s - (owner.wall() - job.at))
-    whom = ", ".join(
-        f"{name} ({amount[0] / PARTS:g} CPUs"
-        + (f", {amount[1] / PARTS:g} GPUs)" if amount[1] else ")")
-        for name, amount in sorted(sources.items())
-    )
+    whom = ", ".join(f"{name} ({_told(amount)})" for name, amount in sorted(sources.items()))
     when = f"after {left:.1f} s" if left else "from now on"
     return [f"{count} tasks are owed to team {spec.team}: {when} room is made by stopping {whom}"]
 
 
+def _told(amount: Amount) -> str:
+    units = zip(amount, ("CPUs", "GPUs"), strict=True)
+    return ", ".join(f"{have / PARTS:g} {unit}" for have, unit in units if have)
+
+
 def _unclaimed(owner: Known, job: JobRun) -> list[str]:
     spec = job.spec
     out = []
@@ -248,19 +250,23 @@
 
 def _teams(owner: Known) -> list[TeamView]:
     used: dict[str, list[float]] = {}
-    owed: dict[str, float] = {}
+    owed: dict[str, list[float]] = {}
     for job in owner.jobs.values():
+        waiting = job.unclaimed.bit_count()
         if job.within:
-            lacking = job.unclaimed.bit_count() * job.spec.cpus
-            owed[job.spec.team] = owed.get(job.spec.team, 0.0) + lacking
-        have = used.setdefault(job.spec.team, [0.0, 0.0, 0])
+            lacking = owed.setdefault(job.spec.team, [0.0, 0.0])
+            lacking[0] += waiting * job.spec.cpus
+            lacking[1] += waiting * job.spec.gpus
+        have = used.setdefault(job.spec.team, [0.0, 0.0, 0.0])
         claimed = (job.unfinished & ~job.unclaimed).bit_count()
         have[0] += claimed * job.spec.cpus
         have[1] += claimed * job.spec.gpus
-        have[2] += job.unclaimed.bit_count()
+        have[2] += waiting
     out = []
     for team in owner.settings.params.teams:
-        cpus, gpus, waiting = used.get(team.name, (0.0, 0.0, 0))
+        cpus, gpus, tasks = used.get(team.name, (0.0, 0.0, 0.0))
+        lacks = owed.get(team.name, (0.0, 0.0))
+        entitled = [amount / PARTS for amount in owner.limits.standing.entitled(team)]
         out.append(
             TeamView(
                 team.name,
@@ -270,11 +276,13 @@
                 team.gpus,
                 team.cpus_max if team.cpus_max < UNLIMITED else None,
                 team.gpus_max if team.gpus_max < UNLIMITED else None,
-                round(max(0.0, cpus - team.cpus), 3),
-                round(max(0.0, gpus - team.gpus), 3),
-                int(waiting),
-                round(owed.get(team.name, 0.0), 3),
-                round(max(0.0, team.cpus - cpus - owed.get(team.name, 0.0)), 3),
+                round(max(0.0, cpus - entitled[0]), 3),
+                round(max(0.0, gpus - entitled[1]), 3),
+                int(tasks),
+                round(lacks[0], 3),
+                round(max(0.0, team.cpus - cpus - lacks[0]), 3),
+                round(lacks[1], 3),
+                round(max(0.0, team.gpus - gpus - lacks[1]), 3),
             )
         )
     return out
--- a/sagecove/coordination/limits/guarantees.py
+++ b/sagecove/coordination/limits/guarantees.py
@@ -1,6 +1,11 @@
 """Which jobs are within their teams' guarantees: those that fit them with the team's earlier ones.
 
-Found from durable submissions alone, so every controller finds the same."""
+Found from durable submissions alone, so every controller finds the same.
+
+A resource of which a team is guaranteed none does not bound what it is guaranteed of the other,
+nor is it owed by that: GPUs are owed to nobody who is guaranteed CPUs only, and CPUs alone to
+nobody who is guaranteed GPUs only. CPUs that come with guaranteed GPUs are owed with them.
+"""
 
 from __future__ import annotations
 
@@ -11,6 +16,20 @@
 from sagecove.coordination.model import EPS, JobRun
 
 
+def owed(team: Team, cpus: float, gpus: float) -> bool:
+    """A team is guaranteed what a task takes (CPUs, GPUs), however much of it."""
+    if gpus > 0:
+        return team.gpus > 0
+    return team.cpus > 0
+
+
+def holds(team: Team, cpus: float, gpus: float) -> bool:
+    """A team's guarantee reaches so far, in each resource that it names."""
+    return (team.cpus <= 0 or cpus <= team.cpus + EPS) and (
+        team.gpus <= 0 or gpus <= team.gpus + EPS
+    )
+
+
 class Guarantees:
     """Each team's line of unfinished jobs, and how far its guarantee reaches along it."""
 
@@ -26,7 +45,13 @@
         self.within: dict[str, JobRun] = {}
 
     def job_seen(self, job: JobRun) -> None:
-        """A job is new: it takes its place in its team's line."""
+        """A job is new: it takes its place in its team's line, if it takes of what the team is
+        guaranteed: the line is walked as far as that reaches, and must not be without an end."""
+        team = self.teams.get(job.spec.team)
+        if team is None or not (
+            (team.cpus > 0 and job.spec.cpus > 0) or (team.gpus > 0 and job.spec.gpus > 0)
+        ):
+            return
         insort(self.lines.setdefault(job.spec.team, []), (job.at, job.id))
 
     def job_over(self, job: JobRun) -> None:
@@ -57,9 +82,10 @@
                 job = self.jobs[job_id]
                 cpus += job.spec.cpus * job.spec.tasks
                 gpus += job.spec.gpus * job.spec.tasks
-                if cpus > team.cpus + EPS or gpus > team.gpus + EPS:
+                if not holds(team, cpus, gpus):
                     break
-                found[job_id] = job
+                if owed(team, job.spec.cpus, job.spec.gpus):
+                    found[job_id] = job
         before, self.within = self.within, found
         for job_id, job in before.items():
             if job_id not in found:
--- a/sagecove/coordination/limits/limits.py
+++ b/sagecove/coordination/limits/limits.py
@@ -7,7 +7,7 @@
 from random import Random
 from typing import Protocol
 
-from sagecove.config import Settings, Team
+from sagecove.config import UNLIMITED, Settings, Team
 from sagecove.coordination.limits.account import Account
 from sagecove.coordination.limits.records import (
     ROW,
@@ -37,6 +37,8 @@
 
 # A limit of which more than this share is not claimed is far.
 FAR = 0.25
+# What stands for no limit.
+NONE = parts(UNLIMITED)
 # So much of a limit may have come free without being known of here.
 LAG = 1 / 16
 
@@ -209,8 +211,9 @@
         step = [0, 0]
         for n in (0, 1):
             rest = limit[n] - total[n] - need[n]
-            if need[n] and rest > limit[n] * FAR:
-                # Far from the limit in coarse steps, to save writes.
+            if need[n] and limit[n] < NONE and rest > limit[n] * FAR:
+                # Far from the limit in coarse steps, to save writes. Not where there is none: steps
+                # of what has no end would be given and wanted back for nothing.
                 step[n] = rest // (2 * len(self.nodes))
         target = plus(target, (step[0], step[1]))
         self.wants.feel(now, team, shard, job, target, self.share(shard, team))
--- a/sagecove/coordination/limits/standing.py
+++ b/sagecove/coordination/limits/standing.py
@@ -30,8 +30,9 @@
                 [team.gpus for team in teams.values()],
             )
         ]
-        # By team: what all its claims come to.
+        # By team: what all its claims come to, and the CPUs of those that take no GPUs.
         self.totals: dict[str, Amount] = {}
+        self.alone: dict[str, int] = {}
 
     def noted(self, job: JobRun) -> None:
         """A job's claims may have changed."""
@@ -65,6 +66,19 @@
         else:
             table[shard] = now
         self.totals[team] = plus(self.totals.get(team, ZERO), amount)
+        if not amount[1]:
+            self.alone[team] = self.alone.get(team, 0) + amount[0]
+
+    def entitled(self, team: Team) -> Amount:
+        """What a team is owed, of what it claims as it claims it: its guarantee; of CPUs, where it
+        is guaranteed GPUs alone, those that come with the GPUs it is owed. Counted as a guarantee
+        of nothing, all CPUs of such teams were borrowed, by each from all the others."""
+        gpus = parts(team.gpus)
+        if team.cpus > 0 or not gpus:
+            return parts(team.cpus), gpus
+        total = self.total(team.name)
+        beside = total[0] - self.alone.get(team.name, 0)
+        return beside if total[1] <= gpus else beside * gpus // total[1], gpus
 
     def total(self, team: str) -> Amount:
         """All that a team claims."""
@@ -78,10 +92,10 @@
         if known is None:
             return 0
         out = 0.0
-        for n, owed in enumerate((known.cpus, known.gpus)):
-            weight = parts(owed) or self.least[n]
+        for n, owed in enumerate(self.entitled(known)):
+            weight = owed or self.least[n]
             if weight:
-                out = max(out, (self.total(team)[n] - parts(owed)) / weight)
+                out = max(out, (self.total(team)[n] - owed) / weight)
         return int(log2(1 + out)) if out > 0 else 0
 
     def borrowers(self, team: str) -> dict[str, Amount]:
@@ -90,7 +104,7 @@
         for name, total in self.totals.items():
             known = self.teams.get(name)
             if name != team and known is not None:
-                over = minus(total, (parts(known.cpus), parts(known.gpus)))
+                over = minus(total, self.entitled(known))
                 if over[0] > 0 or over[1] > 0:
                     out[name] = most(ZERO, over)
         return out
@@ -122,9 +136,10 @@
             out = plus(out, (share[0], share[1]))
         return out
 
-    def borrowed_by_others(self, team: str) -> float:
-        """CPUs that other teams claim beyond their guarantees."""
-        return sum(over[0] for over in self.borrowers(team).values()) / PARTS
+    def borrowed_by_others(self, team: str) -> tuple[float, float]:
+        """CPUs and GPUs that other teams claim beyond their guarantees."""
+        over = list(self.borrowers(team).values())
+        return sum(o[0] for o in over) / PARTS, sum(o[1] for o in over) / PARTS
 
     def borrowed(self, team: str) -> float:
         """What a team claims beyond its guarantee, as a part of that: the larger of its parts of
@@ -133,7 +148,6 @@
         if known is None:
             return 0.0
         out = 0.0
-        for have, owed in zip(self.total(team), (known.cpus, known.gpus), strict=True):
-            mine = parts(owed)
+        for have, mine in zip(self.total(team), self.entitled(known), strict=True):
             out = max(out, (have - mine) / max(mine, parts(1.0)))
         return out
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -544,9 +544,12 @@
             unclaimed += more
             left += more
             limit = owner.limits.teams.get(job.spec.team)
-            if limit is not None and job.spec.cpus > 0:
+            if limit is not None:
                 # More than its team may use at one time would not run anyway.
-                left = min(left, (1 + others) * 4.0 * max(1, int(limit.cpus_max / job.spec.cpus)))
+                spec = job.spec
+                for most, each in ((limit.cpus_max, spec.cpus), (limit.gpus_max, spec.gpus)):
+                    if each > 0:
+                        left = min(left, (1 + others) * 4.0 * max(1, int(most / each)))
             weight = self._weight(job)
             run = max(1.0, owner.learning.expected(job))
             work += left * run * weight
--- a/sagecove/protocol/views.py
+++ b/sagecove/protocol/views.py
@@ -51,6 +51,8 @@
     # may borrow it.
     owed_cpus: float = 0.0
     lent_cpus: float = 0.0
+    owed_gpus: float = 0.0
+    lent_gpus: float = 0.0
 
 
 class MachineView(msgspec.Struct):
