Jobs go where their images are: the zone, the machine, and the controller that claims them

The zone was drawn before images were looked at, a gang's tasks were spread over as many fetches, a machine's cache was taken for first in, first out, what is being fetched for nothing, and a job was claimed by whomever its user happened to ask. Now controllers tell free room beside images with their hints, and leave a new job for two polls to one that has it.

--- a/sagecove/coordination/claims/competing.py
+++ b/sagecove/coordination/claims/competing.py
@@ -7,6 +7,7 @@
 from sagecove.coordination.backlog import Backlog
 from sagecove.coordination.claims.ground import Ground
 from sagecove.coordination.claims.making import Making
+from sagecove.coordination.images import Images
 from sagecove.coordination.learning import Learning
 from sagecove.coordination.ledger import Ledger
 from sagecove.coordination.limits.limits import Limits
@@ -48,8 +49,10 @@
         learning: Learning,
         shards: Territory,
         sync: Syncing,
+        images: Images,
     ) -> None:
         self.desk = desk
+        self.images = images
         self.ledger = ledger
         self.limits = limits
         self.backlog = backlog
@@ -136,6 +139,11 @@
             return
         wanted = bits.bit_count()
         count = 0
+        if leave := self.images.leave(job, machines, promised, wanted):
+            if leave == wanted:
+                return
+            wanted -= leave
+            bits = taskset.lowest(bits, wanted)
         if not self.ground.futile.known(job):
             count = self.fitting(job, shard.name, machines, promised)
         planned = count
--- a/sagecove/coordination/claims/making.py
+++ b/sagecove/coordination/claims/making.py
@@ -195,7 +195,7 @@
                 loss += (now - p.started_at) * p.job.spec.cpus
                 room = [r + n for r, n in zip(room, need(p.job), strict=True)]
             if slots(spec, (room[0], room[1], room[2])) >= 1:
-                fetch = job.priority == 3 and spec.image not in machine.images
+                fetch = not job.array and spec.image not in machine.images
                 candidates.append((fetch, loss, machine, chosen))
         candidates.sort(key=lambda c: (c[0], c[1], c[2].name))
         if job.within and not job.service:
--- a/sagecove/coordination/claims/passes.py
+++ b/sagecove/coordination/claims/passes.py
@@ -16,6 +16,7 @@
 from sagecove.coordination.claims.placing import Placing
 from sagecove.coordination.claims.releasing import Releasing
 from sagecove.coordination.claims.results import Results
+from sagecove.coordination.images import Images
 from sagecove.coordination.learning import Learning
 from sagecove.coordination.ledger import Ledger
 from sagecove.coordination.limits.limits import Limits
@@ -45,6 +46,7 @@
         shards: Territory,
         sync: Syncing,
         peers: Draining,
+        images: Images,
     ) -> None:
         self.desk = desk
         self.ledger = ledger
@@ -59,7 +61,8 @@
         self.making = Making(desk, self.ground, ledger, limits, stopping, workers)
         self.releasing = Releasing(desk, self.ground, sync)
         self.competing = Competing(
-            desk, self.ground, self.making, ledger, limits, backlog, learning, shards, sync
+            *(desk, self.ground, self.making, ledger, limits, backlog, learning, shards, sync),
+            images,
         )
         self.placing = Placing(
             desk,
--- a/sagecove/coordination/ledger.py
+++ b/sagecove/coordination/ledger.py
@@ -12,13 +12,16 @@
 
 from typing import Protocol
 
-from sagecove.coordination.model import EPS, PARTS, JobRun, Machine, Placement, Shard, parts
+from sagecove.coordination.model import EPS, PARTS, SENT, JobRun, Machine, Placement, Shard, parts
 from sagecove.coordination.ports import Clock
 from sagecove.protocol import workers as w
 
 # What a machine of a type not known yet may hold (CPUs, GPUs): more than any limit.
 ANYTHING = 1_000_000_000
 
+# A task in these states may be waiting for its image.
+FETCHING = (SENT, w.PULLING)
+
 Pair = tuple[float, float]
 
 
@@ -156,6 +159,10 @@
         machine.tasks[placement.task] = placement
         machine.take(job.spec, 1)
         placement.counted = True
+        image = job.spec.image
+        if placement.state in FETCHING and image not in machine.images:
+            placement.fetching = True
+            machine.fetching[image] = machine.fetching.get(image, 0) + 1
         job.add(placement)
         account = self.accounts.get(machine.record.shard)
         if account is not None:
@@ -173,6 +180,8 @@
         placement.machine.settled = False
         if state == w.TASK_RUNNING:
             job.running += placement.counted
+        if state not in FETCHING:
+            _fetched(placement)
         if state == w.EXITED:
             self._out(placement)
 
@@ -206,6 +215,7 @@
         if placement.state == w.TASK_RUNNING:
             job.running -= 1
         placement.counted = False
+        _fetched(placement)
         machine = placement.machine
         machine.take(job.spec, -1)
         account = self.accounts.get(machine.record.shard)
@@ -322,6 +332,16 @@
         account.free.pop(machine.name, None)
 
 
+def _fetched(placement: Placement) -> None:
+    """A task waits for no image any more."""
+    if placement.fetching and placement.job is not None:
+        placement.fetching = False
+        fetching, image = placement.machine.fetching, placement.job.spec.image
+        fetching[image] -= 1
+        if not fetching[image]:
+            del fetching[image]
+
+
 def _add(table: dict[str, list[int]], job: JobRun, count: int) -> None:
     """Count tasks of a job in (or out) for its team."""
     have = table.get(job.spec.team)
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -257,8 +257,9 @@
     # A direct launch got no answer under this token: it may be executed until a higher is seen.
     doubt_token: int = -1
     reaping: bool = False
-    # It takes room in the books, see `Ledger`.
+    # It takes room in the books, see `Ledger`; and waits for an image its machine did not have.
     counted: bool = False
+    fetching: bool = False
 
     @property
     def live(self) -> bool:
@@ -283,7 +284,9 @@
         # Class of its price, see `placement.dearness`.
         self.dear = 0
         self.reset(now)
+        # Images (GB), the last used last; and those its tasks are waiting for, with their number.
         self.images: OrderedDict[str, float] = OrderedDict()
+        self.fetching: dict[str, int] = {}
         # Jobs that failed here since a task last completed, and how often.
         self.errors: dict[str, int] = {}
         self.sick = False
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -17,6 +17,7 @@
 from sagecove.coordination.ends import Ends
 from sagecove.coordination.failures import Failures
 from sagecove.coordination.handover.calls import Calls
+from sagecove.coordination.images import Images
 from sagecove.coordination.inventory import Inventory
 from sagecove.coordination.leadership import Leadership
 from sagecove.coordination.learning import Learning
@@ -102,6 +103,7 @@
         teams = {team.name: team for team in settings.params.teams}
         self.standing = Standing(teams)
         self.ledger = Ledger(self)
+        self.images = Images(self, self.ledger)
         self.guarantees = Guarantees(teams, self.jobs, self.backlog.settle)
         self.ends = Ends(self)
         self.limits = Limits(
@@ -135,6 +137,7 @@
             self.shards,
             self.sync,
             self.peers,
+            self.images,
         )
         self.users = Users(self)
         self.provision = Provision(self)
--- a/sagecove/coordination/peers.py
+++ b/sagecove/coordination/peers.py
@@ -93,6 +93,7 @@
             self.owner.limits.wants.here()[:FEW],
             self.owner.limits.completed()[:FEW],
             self.owner.calls.mine[:FEW],
+            self.owner.images.here()[:FEW],
         )
         self.drain(hint)
         self.cancelled_lately = []
@@ -169,6 +170,7 @@
                 self.hungry[job_id] = (shard, count, self.owner.now)
             self.drain(hint)
             self._wanted(hint.node, hint.wants)
+            self.owner.images.heard(self.owner.now, hint.node, hint.warm)
             for call in hint.calls:
                 self.owner.calls.called(self.owner.now, call)
             self.owner.limits.told_completed(self.owner.now, hint.node, hint.ended)
--- a/sagecove/coordination/placement.py
+++ b/sagecove/coordination/placement.py
@@ -162,7 +162,17 @@
         # A second opinion tells a faulty machine from a faulty job.
         waste += 99
     wrong_kind = 0 if machine.record.spot == spec.spot else 1
-    return waste, 0 if spec.image in machine.images else 1, wrong_kind
+    return waste, _warmth(spec, machine), wrong_kind
+
+
+def _warmth(spec: Job, machine: Machine) -> int:
+    """Groups of machines by how soon they have an image: there; on its way; to be fetched; to be
+    fetched beside another, which shares the rate."""
+    if spec.image in machine.images:
+        return 0
+    if spec.image in machine.fetching:
+        return 1
+    return 3 if machine.fetching else 2
 
 
 def zone_counts(job: JobRun) -> dict[str, int]:
@@ -230,7 +240,13 @@
                 per_zone[zone] = per_zone.get(zone, 0) + count
             most = max(per_zone.values())
             zones = [z for z, c in per_zone.items() if c >= min(most, len(indexes))]
-            zones = [random.choice(sorted(zones))]
+            # A zone in which few images are to be fetched.
+            warm = dict.fromkeys(zones, 0)
+            for machine, count in open_machines:
+                if machine.record.zone in warm and spec.image in machine.images:
+                    warm[machine.record.zone] += count
+            most = min(max(warm.values()), len(indexes))
+            zones = [random.choice(sorted(z for z in zones if warm[z] >= most))]
         open_machines = [(m, c) for m, c in open_machines if m.record.zone in zones]
     if job.gang and sum(c for _, c in open_machines) < len(indexes):
         return []
@@ -253,7 +269,16 @@
                 continue
             # A service's replicas on one machine fail together: spread them where there is room,
             # but not at the price of an image's fetch.
-            full = (*order[:2], here.get(name, 0), order[2]) if job.service else order
+            full: tuple[int, ...] = order
+            if job.service:
+                full = (*order[:2], here.get(name, 0), order[2])
+            elif job.gang and order[1]:
+                # All tasks wait for the slowest fetch: as few machines as will do, each for
+                # as many of the tasks as it has room for.
+                fetches = 1 if name in here else order[1]
+                full = (order[0], fetches, order[2], -min(left[name], len(indexes) - len(planned)))
+            elif job.gang:
+                full = (*order, 0)
             if best_rank is None or full < best_rank:
                 best, best_rank = [machine], full
             elif full == best_rank:
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -165,6 +165,7 @@
         conditions = list(own)
         changes: list[wire.Put | wire.Drop] = [wire.Put(JOB + job_id, record), *more]
         run = JobRun(record, 0)
+        run.seen_at = owner.now
         if run.service:
             owner.learning.settle(run)
         claimed = self._claim_now(run)
@@ -219,6 +220,8 @@
         ground.futile = ground.futile_making = Futile()
         ground.roomy = None
         ground.look_around(node)
+        if owner.images.leave(job, machines, promised, job.spec.tasks):
+            return None
         count = claims.competing.fitting(job, node, machines, promised)
         if count < job.spec.tasks and job.priority >= 2:
             # Users wait for these: room is made at once where it may be.
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from sagecove.coordination import images
 from sagecove.coordination.effects import Reply
 from sagecove.coordination.model import SENT, Machine, Placement
 from sagecove.protocol import workers as w
@@ -340,9 +341,8 @@
         owner.ledger.state(placement, hand.state)
         job = placement.job
         assert job is not None
-        if hand.state in (w.TASK_RUNNING, w.WAITING) and job.spec.image not in machine.images:
-            machine.images[job.spec.image] = job.spec.image_gb
-            self._evict(machine)
+        if hand.state in (w.TASK_RUNNING, w.WAITING):
+            images.used(machine, job.spec)
         if hand.state == w.TASK_RUNNING and not placement.running_at:
             placement.running_at = owner.now
         if hand.state != w.EXITED:
@@ -368,11 +368,6 @@
         if not machine.tasks:
             machine.idle_since = owner.now
 
-    def _evict(self, machine: Machine) -> None:
-        size = machine.kind.cache_gb if machine.kind else 0.0
-        while len(machine.images) > 1 and sum(machine.images.values()) > size:
-            machine.images.popitem(last=False)
-
     # -- gone -----------------------------------------------------------------------------------
 
     def drop(self, machine: Machine, placement: Placement, why: str = "missing") -> None:
--- a/sagecove/protocol/peers.py
+++ b/sagecove/protocol/peers.py
@@ -32,6 +32,16 @@
     tasks: int
 
 
+class Warm(msgspec.Struct, frozen=True, array_like=True):
+    """Free room (CPUs, GPUs) on machines of a zone and kind that have an image."""
+
+    image: str
+    zone: str
+    spot: bool
+    cpus: float
+    gpus: float
+
+
 class Wants(msgspec.Struct):
     """All that a controller wants of teams' limits, told when it changes."""
 
@@ -68,6 +78,8 @@
     ended: list[Ended] = []
     # Gangs that idle machines of others would serve.
     calls: list[RoomCall] = []
+    # Free room beside images.
+    warm: list[Warm] = []
 
 
 class Promise(msgspec.Struct):
