Workers that cannot reach their holder are relayed at once; a zone cut off is no dead fleet

A worker that has been answered by its holder under the present token and turns up elsewhere cannot get through: its report is passed on.

--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -20,7 +20,7 @@
 from sagecove.coordination.model import SENT, Machine, Placement
 from sagecove.protocol import workers as w
 from sagecove.protocol.users import Refusal
-from sagecove.storage.records import MachineRecord
+from sagecove.storage.records import HOLDER, MachineRecord
 from sagecove.storage.store import Outcome, Result, decode
 
 if TYPE_CHECKING:
@@ -30,6 +30,8 @@
 
 Answer = Callable[[int | None, bytes], None]
 
+# For so many leases it is not held against machines that many are silent together.
+MANY_LEASES = 6
 # Peers' hints come once a second; one that is older says that its sender is silent.
 HINT_FRESH_S = 2.5
 
@@ -51,15 +53,22 @@
         # After the last answer, a worker's lease has run out for sure (half a report for clocks'
         # steps and the way of the packets).
         self.lease_over = pace.lease_s * drift + pace.report_s / 2
-        # Silence that is taken for a dead machine; a worker cut off may take 4 s a node to return.
-        self.silent = max(3 * pace.report_s, pace.lease_s / 3)
         self.call_s = 4.0
+        # Silence that is taken for a dead machine. A worker that gets no answer from its holder
+        # turns to the next controller after a report's time, 4 s, and a pause of 1 s; the way
+        # takes a moment, too.
+        self.silent = max(
+            *(3 * pace.report_s, pace.lease_s / 3),
+            1.25 * pace.report_s + self.call_s + 1.5,
+        )
         self.adopting: set[str] = set()
         # Machines with orders that should not wait for the next report.
         self.urgent: dict[str, Machine] = {}
         self.gone: dict[str, float] = {}
         # By shard, when a machine of it may first have to be seen to.
         self.look_at: dict[str, float] = {}
+        # Zones that the way to was at fault lately, and when.
+        self.cut_at: dict[str, float] = {}
         # Machines with lost launches that may still arrive.
         self.doubted: dict[str, Machine] = {}
 
@@ -89,7 +98,7 @@
                 # Its lease has lapsed, and somebody is about to take the shard.
                 self._park(machine, exchange)
             elif holder != owner.settings.node and holder is not None and not relayed:
-                self._elsewhere(machine, holder, body, exchange)
+                self._elsewhere(machine, holder, report, body, exchange)
             else:
                 owner.effects.append(Reply(exchange, 503, Refusal("no authority at the moment")))
             return
@@ -109,15 +118,22 @@
         owner.effects.append(Reply(exchange, 200, w.Answer(token, orders)))
         self.urgent.pop(machine.name, None)
 
-    def _elsewhere(self, machine: Machine, holder: str, body: bytes, exchange: object) -> None:
-        """A report for another holder: send the worker there; if it has just been sent and is
-        back, it can't get through, but this controller can: pass its report on."""
+    def _elsewhere(
+        self, machine: Machine, holder: str, report: w.Report, body: bytes, exchange: object
+    ) -> None:
+        """A report for another holder: send the worker there; if it comes from there, or has just
+        been sent and is back, it can't get through, but this controller can: pass its report on."""
         owner = self.owner
         now = owner.now
         addr = next((p.addr for p in owner.settings.peers if p.node == holder), None)
         hint = owner.peers.hints.get(holder)
         reachable = hint is not None and now - hint[0] < HINT_FRESH_S
         back = 0.7 < now - machine.redirected_at < self.pace.lease_s
+        # It has been answered by the holder under its present token. Between zones that could not
+        # reach each other workers were sent back for another 4 s without an answer, after which
+        # their leases were over; and their holders had returned them as silent.
+        term = owner.mirror.stamp(HOLDER + machine.record.shard)
+        back = back or report.token >= max(term, machine.stamp)
         # One whose lease outlives its silence is alive, and merely cut off from its peers.
         silent = hint is not None and HINT_FRESH_S <= now - hint[0] < owner.leadership.length + 1.0
         if silent and hint is not None and (back or owner.peers.heard(holder, machine.name)):
@@ -432,14 +448,20 @@
                     owner.shards.machine_resolved(machine)
             if not owner.leadership.acting(now) or shard.yielding:
                 continue
-            # When many fall silent at once, the fault is more likely on this side.
+            # When many fall silent at once, the fault is more likely on this side, or on the way.
             up = [m for m in machines if m.ever_heard]
             heard = sum(1 for m in up if now - m.heard_at < 1.5 * self.pace.report_s)
-            if len(quiet) > max(2, len(machines) // 4) or 2 * heard < len(up):
-                continue
+            many = len(quiet) > max(2, len(machines) // 4) or 2 * heard < len(up)
+            cut = self._cut_off(now, machines)
             for machine in quiet:
+                # Not for ever: a shard most of whose machines had died kept them.
+                patience = self.silent
+                if many:
+                    patience = MANY_LEASES * self.pace.lease_s
+                elif machine.record.zone in cut:
+                    patience = max(patience, self.pace.lease_s)
                 if (
-                    now - max(machine.heard_at, heard_since) > self.silent
+                    now - max(machine.heard_at, heard_since) > patience
                     and not machine.record.leaving
                     and now - machine.elsewhere_at > self.silent
                 ):
@@ -455,6 +477,21 @@
             ):
                 self.leave(machine, "sick")
 
+    def _cut_off(self, now: float, machines: list[Machine]) -> set[str]:
+        """Zones of which much has not been heard for a moment while others are: the way to them is
+        at fault, and most of their machines will come by another controller."""
+        seen: dict[str, list[int]] = {}
+        late = 2 * self.pace.report_s
+        for machine in machines:
+            if machine.ever_heard and not machine.record.leaving:
+                counts = seen.setdefault(machine.record.zone, [0, 0])
+                counts[0] += 1
+                counts[1] += now - machine.heard_at > late
+        out = {z for z, (every, quiet) in seen.items() if quiet > max(2, every // 4)}
+        for zone in out:
+            self.cut_at[zone] = now
+        return {z for z, at in self.cut_at.items() if now - at < self.silent}
+
     def leave(self, machine: Machine, reason: str) -> None:
         """Hand a machine to the provisioner for deletion. Nothing is placed on it any more."""
         owner = self.owner
--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -51,6 +51,10 @@
         # Controllers that workers cannot reach, nor they the workers.
         self.deaf: set[str] = set()
         self.cut_links: set[tuple[str, str]] = set()
+        # Machines whose reports arrive, while no answer or command reaches them.
+        self.unreached: set[str] = set()
+        # After how long reports of these machines arrive once more, at whatever controller.
+        self.copies: dict[str, list[float]] = {}
         # Controllers that stand still, and until when; the second kind has decided already, and
         # what it decided leaves only afterwards.
         self.still: dict[str, float] = {}
@@ -118,6 +122,16 @@
     def controllers(self) -> list[str]:
         return sorted(self.owners) or sorted(self.inbox)
 
+    def part(self, left: list[str], right: list[str]) -> None:
+        """Two groups of controllers and machines cannot reach each other, until `cut_links` is
+        cleared."""
+        addresses = {f"n{i}": f"10.0.0.{i}:81" for i in range(self.nodes)}
+        addresses |= {name: worker.info["addr"] for name, worker in self.workers.items()}
+        for one, other in ((left, right), (right, left)):
+            # Machines call controllers by name, controllers call others by address.
+            self.cut_links |= {(a, b) for a in one for b in other}
+            self.cut_links |= {(a, addresses[b]) for a in one for b in other}
+
     # -- controllers ----------------------------------------------------------------------------
 
     def boot_node(self, number: int) -> None:
@@ -180,6 +194,8 @@
     def _deliver_addr(self, call: Call, raw: Any, answer: Answer) -> None:
         for worker in self.workers.values():
             if worker.info["addr"] == call.target and not worker.dead:
+                if worker.name in self.unreached:
+                    return
                 if worker.cut or worker.cut_direct:
                     worker.held.append(raw)
                 else:
@@ -200,12 +216,26 @@
         body: Any,
         answer: Answer,
     ) -> None:
-        if node in self.owners and not (path == "/hello" and node in self.deaf):
+        if path == "/hello" and isinstance(body, dict):
+            name = body["mount"]
+            if node in self.deaf or (name, node) in self.cut_links:
+                return
+            for delay in self.copies.get(name, ()):
+                self.later(delay, lambda: self._copy(json.dumps(body).encode()))
+            given, told = answer, name in self.unreached
+            answer = lambda status, raw: None if told else given(status, raw)  # noqa: E731
+        if node in self.owners:
             raw = body if isinstance(body, bytes) else json.dumps(body).encode()
             self.inbox[node].append(Asked(method, path, raw, answer))
         elif node not in self.owners and self.refuses:
             self.later(0.01, lambda: answer(None, b""))
 
+    def _copy(self, raw: bytes) -> None:
+        """A report arrives once more; whoever sent it has long had its answer."""
+        node = self.random.choice(self.controllers())
+        if node in self.owners:
+            self.inbox[node].append(Asked("POST", "/hello", raw, lambda status, body: None))
+
     def user(self, node: str, method: str, path: str, body: Any = b"") -> tuple[int, Any]:
         """A user's request, waited for."""
         got: list[tuple[int, Any]] = []
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -394,3 +394,36 @@
     assert 2 in sessions
     # The rules are checked at each start.
     w.run(8)
+
+
+def test_between_two_zones_that_cannot_reach_each_other_nothing_is_lost() -> None:
+    # On a bench day 46 machines that could reach the third controller were returned as silent,
+    # with 153 tasks: sent back to holders they could not reach, they had no answer for 4 s more.
+    w = World(seed=3, teams=[{"name": "red", "cpus": 16, "cpus_max": 0}])
+    w.cloud.capacity = {"small": 24, "gpu": 0}
+    w.run(3)
+    for i in range(24):
+        w.cloud.start("small", "ab"[i % 2], False)
+    w.run(5)
+    w.submit("n0", job(1, shape="service", hands=48))
+    w.until(lambda: w.running("run-000001") == 48, 60)
+    w.run(5)
+    starts, deleted = len(w.starts), len(w.cloud.deleted)
+    zone = {z: [n for n, k in w.workers.items() if k.info["range"] == z] for z in "ab"}
+    w.part(["n0", *zone["a"]], ["n1", *zone["b"]])
+    w.run(25)
+    w.cut_links.clear()
+    w.run(25)
+    assert w.running("run-000001") == 48
+    assert (len(w.starts), len(w.cloud.deleted)) == (starts, deleted)
+
+
+def test_machines_of_a_zone_that_stay_silent_are_returned_in_the_end(world: World) -> None:
+    world.submit("n0", job(1, shape="service", hands=6))
+    world.until(lambda: world.running("run-000001") == 6, 40)
+    for worker in world.workers.values():
+        worker.dead = worker.info["range"] == "b"
+    gone = [n for n, k in world.workers.items() if k.dead]
+    # Of one shard all may be in that zone, which looks as if its holder were at fault.
+    world.until(lambda: set(gone) <= set(world.cloud.deleted), 100)
+    world.until(lambda: world.running("run-000001") == 6, 60)
