--- a/sagecove/coordination/images.py
+++ b/sagecove/coordination/images.py
@@ -114,9 +114,12 @@
         """How many of `count` tasks of a new job this controller should leave to others for a
         moment: those it would have to fetch the image for, if another has room beside it. A fetch
         takes many times what the job loses if nobody takes it: a gang's images of 9 GB and more
-        take over 20 s, and it was claimed by whomever its user happened to ask."""
+        take over 20 s, and it was claimed by whomever its user happened to ask. Not of arrays:
+        they are claimed bit by bit wherever something comes free, and room told of is gone by the
+        time it is heard; ten teams that claimed their guarantees at once waited for each other."""
         if (
-            self.desk.now - job.seen_at >= LEFT_POLLS * self.poll_s
+            job.array
+            or self.desk.now - job.seen_at >= LEFT_POLLS * self.poll_s
             or len(self.desk.settings.nodes) < 2
             or self.fetch_s(job.spec) < self.poll_s
         ):
