The largest gangs and arrays begin in time behind streams of smaller ones

Stories found three: a gang whose tasks share machines was passed by for good by small ones of its own standing, on a full fleet and at its team's limit; one larger than its shard never had machines handed over while streams kept all of them in use; a large array that could still be in time waited up to twice its due behind smaller ones. After 1.5 boots what comes free in the shard (and zone) that the gang is served in waits for it, other shards let their part of machines run empty, its team's later gangs leave it room within the limit; not for one that the whole fleet could not hold. The first task of an array that has not begun by half of four minutes, or of its due, goes first.

--- a/sagecove/coordination/claims/competing.py
+++ b/sagecove/coordination/claims/competing.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from zlib import crc32
 
 from sagecove.coordination.backlog import Backlog
 from sagecove.coordination.claims.ground import Ground
 from sagecove.coordination.claims.making import Making
 from sagecove.coordination.images import Images
-from sagecove.coordination.learning import Learning
+from sagecove.coordination.learning import TO_BEGIN, Learning
 from sagecove.coordination.ledger import Ledger
 from sagecove.coordination.limits.limits import Limits
 from sagecove.coordination.model import JobRun, Machine, Shard, parts, standing
@@ -146,6 +147,8 @@
             bits = taskset.lowest(bits, wanted)
         if not self.ground.futile.known(job):
             count = self.fitting(job, shard.name, machines, promised)
+        if job.array and job.order[:2] == (-1, TO_BEGIN):
+            count = wanted = min(count, 1)
         planned = count
         # Of a small array the others should find something, too.
         ahead = min(self.ahead(job), wanted // len(self.desk.settings.nodes))
@@ -237,18 +240,47 @@
     def _gather(
         self, job: JobRun, shard: Shard, count: int, machines: list[Machine], promised: Room
     ) -> None:
-        """A gang of whole machines does not fit yet. Smaller ones may go ahead of it for as long as
-        its own machines take to boot; from then on what is free where it is served waits for it,
-        or it might never find its number."""
-        boot = max((t.boot_s for t in self.desk.types.values()), default=0.0)
-        if self.desk.now - job.seen_at < 1.5 * boot or self.shards.gang_home(job) != shard.name:
+        """A gang does not fit yet. Smaller ones may go ahead of it for as long as its own machines
+        take to boot; from then on what is free where it is served, in one zone if need be, waits
+        for it, or it might never find its number: of gangs whose tasks share machines a large one
+        was passed by for good."""
+        if not self.making.long_waiting(self.desk.now, job):
             return
-        for machine in machines:
-            if count <= 0:
+        spec = job.spec
+        here = [
+            m
+            for m in self.desk.by_shard.get(shard.name, {}).values()
+            if m.kind is not None and not m.record.leaving and suits(job, m)
+        ]
+        home = self.shards.home(job)
+        if spec.one_zone:
+            # The zone with most of such machines, whatever is free at the moment: it stays so.
+            zones = Counter(m.record.zone for m in self.desk.by_shard.get(home, {}).values())
+            zone = max(sorted(zones), key=lambda z: zones[z], default="")
+            here = [m for m in here if m.record.zone == zone]
+        if home == shard.name:
+            for machine in machines:
+                more = min(count, slots(spec, room_of(machine, promised)))
+                if more > 0 and machine in here:
+                    promise(promised, machine.name, spec, more)
+                    count -= more
+                if count <= 0:
+                    break
+            return
+        # What its home cannot hold comes from the others, and only empty machines can: each lets
+        # its part of them run empty, those with least on them, and hands them over then.
+        part = -(-self.shards.beyond(job, home) // max(1, len(self.desk.settings.nodes) - 1))
+        here.sort(key=lambda m: (m.used[0], m.name))
+        for machine in here:
+            if part <= 0:
                 break
-            if suits(job, machine) and slots(job.spec, room_of(machine, promised)) > 0:
-                promise(promised, machine.name, job.spec)
-                count -= 1
+            kind = machine.kind
+            assert kind is not None
+            part -= slots(spec, (kind.cpus, kind.gpus, kind.memory_gb))
+            room = room_of(machine, promised)
+            held = promised.setdefault(machine.name, [0.0, 0.0, 0.0])
+            for n in range(3):
+                held[n] += max(0.0, room[n])
 
     def claim(self, job: JobRun, shard: Shard, bits: int) -> None:
         """Claim tasks for a shard, within its share of the limit."""
--- a/sagecove/coordination/claims/ground.py
+++ b/sagecove/coordination/claims/ground.py
@@ -31,6 +31,8 @@
         self.withheld: dict[str, JobRun] = {}
         # Per team: CPUs and GPUs of jobs that wait to be claimed as a whole.
         self.held_back: dict[str, list[float]] = {}
+        # Of these, of gangs that have waited for long.
+        self.held_long: dict[str, list[float]] = {}
         # Jobs whose reserved room is kept from others of their standing in this pass.
         self.kept: set[str] = set()
         # CPUs for claims of this pass that have neither a place nor room under way: what could be
--- a/sagecove/coordination/claims/making.py
+++ b/sagecove/coordination/claims/making.py
@@ -18,9 +18,12 @@
     slots,
     suits,
 )
-from sagecove.coordination.ports import Desk, Halting
+from sagecove.coordination.ports import Desk, Halting, Territory
 from sagecove.coordination.stopping import Stopping, need
 
+# Boots of a machine after which a gang waits for long.
+LONG_BOOTS = 1.5
+
 
 class Making:
     """Makes room, or says how much could be made."""
@@ -33,8 +36,10 @@
         limits: Limits,
         stopping: Stopping,
         workers: Halting,
+        shards: Territory,
     ) -> None:
         self.desk = desk
+        self.shards = shards
         self.ledger = ledger
         self.limits = limits
         self.stopping = stopping
@@ -69,6 +74,10 @@
         """
         spec = job.spec
         held = self.add_held(job, job.unclaimed.bit_count())
+        if job.gang and self.long_waiting(now, job):
+            long = self.ground.held_long.setdefault(spec.team, [0.0, 0.0])
+            long[0] += job.unclaimed.bit_count() * spec.cpus
+            long[1] += job.unclaimed.bit_count() * spec.gpus
         if (
             not self.ground.making
             or now - job.seen_at < 2 * self.ground.poll_s / 3
@@ -129,12 +138,20 @@
         held[1] += count * job.spec.gpus
         return held
 
+    def long_waiting(self, now: float, job: JobRun) -> bool:
+        """A job waits for longer than machines of its own would take to boot: smaller ones of its
+        standing no longer go ahead of it."""
+        boot = max((t.boot_s for t in self.desk.types.values()), default=0.0)
+        return now - job.seen_at >= LONG_BOOTS * boot and self.shards.could_hold(job)
+
     def limited(self, job: JobRun, wanted: int, claimed: bool = False) -> int:
         """How many tasks of an array may be claimed (or, claimed already, placed) beside what is
         held back. Only what the array itself takes matters: gangs that wait for their team's GPUs
-        kept its arrays from CPUs that nobody used."""
-        held = self.ground.held_back.get(job.spec.team)
-        if held is None or not job.array:
+        kept its arrays from CPUs that nobody used. Gangs may go ahead of larger ones for a while,
+        but not for good: at its team's limit one was passed by as long as smaller ones came."""
+        table = self.ground.held_back if job.array else self.ground.held_long
+        held = table.get(job.spec.team)
+        if held is None or job.service:
             return wanted
         left = self.limits.left(job.spec.team)
         for n, each in enumerate((job.spec.cpus, job.spec.gpus)):
--- a/sagecove/coordination/claims/passes.py
+++ b/sagecove/coordination/claims/passes.py
@@ -58,7 +58,7 @@
         self.peers = peers
         self.poll_s = desk.settings.poll_s
         self.ground = Ground(desk, ledger, stopping)
-        self.making = Making(desk, self.ground, ledger, limits, stopping, workers)
+        self.making = Making(desk, self.ground, ledger, limits, stopping, workers, shards)
         self.releasing = Releasing(desk, self.ground, sync)
         self.competing = Competing(
             *(desk, self.ground, self.making, ledger, limits, backlog, learning, shards, sync),
@@ -119,6 +119,7 @@
             # One order for what is claimed and what is not: else the room for a claim that is
             # under way would go to whoever comes after it.
             self.ground.held_back = {}
+            self.ground.held_long = {}
             self.ground.pledged = 0.0
             self.ground.asked = {}
             there = bool(self.desk.by_shard.get(shard.name))
--- a/sagecove/coordination/handover/calls.py
+++ b/sagecove/coordination/handover/calls.py
@@ -69,7 +69,7 @@
                 continue
             if now - job.seen_at < PATIENCE_POLLS * self.poll_s:
                 continue
-            home = self.home(job)
+            home = self.shards.home(job)
             if home in acting and (call := self._call(job, home)) is not None:
                 self.mine.append(call)
         doubts, self.doubts = self.doubts, {}
@@ -81,10 +81,6 @@
             # Another shard that is held here gives as well.
             self.called(now, call)
 
-    def home(self, job: JobRun) -> str:
-        """The shard that a gang is served in: the one with most machines for it."""
-        return self.shards.gang_home(job) or self.shards.most_machines(job.spec)
-
     def _call(self, job: JobRun, home: str) -> RoomCall | None:
         spec = job.spec
         if spec.spread or self.limits.obtainable(spec, spec.tasks) < spec.tasks:
--- a/sagecove/coordination/learning.py
+++ b/sagecove/coordination/learning.py
@@ -12,6 +12,12 @@
 from sagecove.coordination.ports import Learned
 from sagecove.protocol.cloud import MachineType
 
+# The operators' rule: the largest jobs of a class, too, begin within four minutes. Of arrays that
+# have not by half of that, or of the time in which their class is expected to be through, the first
+# task goes before the smaller arrays that are in time.
+BEGIN_S = 240.0
+TO_BEGIN = 1
+
 
 class Learning:
     """Learned figures."""
@@ -111,11 +117,21 @@
         if age > 2 * dues[-1]:
             job.order = (-1, 0, job.at)
             return
+        if age > min(BEGIN_S, dues[-1]) / 2 and self._not_begun(job):
+            # With one task: see `Competing`.
+            job.order = (-1, TO_BEGIN, job.at)
+            return
         feasible = any(age + run <= due for due in dues)
         work = job.unfinished.bit_count() * run * max(job.spec.cpus, 0.1)
         level = 0 if job.within else self.owner.standing.level(job.spec.team)
         job.order = (0, level, work) if feasible else (1, level, job.at)
 
+    def _not_begun(self, job: JobRun) -> bool:
+        """Nothing of an array has started, as far as is known here."""
+        return (
+            not (job.fin or job.fresh or job.placed) and job.claims.keys() <= self.owner.held.keys()
+        )
+
     def settle(self, job: JobRun) -> None:
         """Where a service may go: not on machines with GPUs if others suit it, since it would keep
         them from the jobs that need them, for good, or keep a dear machine from its return. If it
--- a/sagecove/coordination/ports.py
+++ b/sagecove/coordination/ports.py
@@ -12,7 +12,6 @@
 from sagecove.coordination.model import JobRun, Machine, Placement, Shard
 from sagecove.protocol import state as wire
 from sagecove.protocol.cloud import MachineType
-from sagecove.protocol.users import Job
 from sagecove.storage.mirror import Event
 from sagecove.storage.store import Result
 
@@ -123,8 +122,14 @@
     def gang_home(self, job: JobRun) -> str | None:
         """The shard that a gang of whole machines belongs to."""
 
-    def most_machines(self, spec: Job) -> str:
-        """The shard with most machines that a job may use."""
+    def home(self, job: JobRun) -> str:
+        """The shard that a gang is served in which fits nowhere yet."""
+
+    def could_hold(self, job: JobRun) -> bool:
+        """The fleet as it is, were it empty, has room for all tasks of a job."""
+
+    def beyond(self, job: JobRun, shard: str) -> int:
+        """Tasks of a job that a shard, were it empty, has no room for."""
 
 
 class Syncing(Protocol):
--- a/sagecove/coordination/shards.py
+++ b/sagecove/coordination/shards.py
@@ -12,6 +12,7 @@
     keep_reserved,
     machine_allowed,
     plan,
+    slots,
     type_allowed,
 )
 from sagecove.coordination.ports import TICK_S
@@ -32,6 +33,8 @@
     def __init__(self, owner: Owner) -> None:
         self.owner = owner
         self.gang_homes: dict[tuple[object, ...], tuple[float, str | None]] = {}
+        # By needs: tasks that the whole fleet has room for, and until when that is believed.
+        self.most_slots: dict[tuple[object, ...], tuple[float, int]] = {}
 
     def shard_machines(self, shard: str) -> list[Machine]:
         """The machines of a shard."""
@@ -121,6 +124,43 @@
             return None
         return self.most_machines(spec)
 
+    def home(self, job: JobRun) -> str:
+        """The shard that a gang is served in which fits nowhere yet: the one with most machines for
+        it, found from the records and so the same for all."""
+        return self.gang_home(job) or self.most_machines(job.spec)
+
+    def could_hold(self, job: JobRun) -> bool:
+        """The fleet as it is, were it empty, has room for all tasks of a job, in one zone if need
+        be. Nothing is kept for one that nothing could make room for."""
+        return self._slots(job.spec, None) >= job.spec.tasks
+
+    def beyond(self, job: JobRun, shard: str) -> int:
+        """Tasks of a job that a shard, were it empty, has no room for, in one zone if need be."""
+        return max(0, job.spec.tasks - self._slots(job.spec, shard))
+
+    def _slots(self, spec: Job, shard: str | None) -> int:
+        """Tasks that the machines of a shard (None: of all) have room for when they are empty."""
+        needs = (*(spec.types or ()), spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory_gb)
+        key = (*needs, spec.one_zone, shard)
+        known = self.most_slots.get(key)
+        if known is not None and self.owner.now < known[0]:
+            return known[1]
+        by_shard = self.owner.by_shard
+        machines = self.owner.machines if shard is None else by_shard.get(shard, {})
+        zones: dict[str, int] = {}
+        for machine in machines.values():
+            kind = machine.kind
+            if kind is None or machine.record.leaving or not machine_allowed(spec, machine):
+                continue
+            zone = machine.record.zone if spec.one_zone else ""
+            room = slots(spec, (kind.cpus, kind.gpus, kind.memory_gb))
+            zones[zone] = zones.get(zone, 0) + room
+        if len(self.most_slots) > 200:
+            self.most_slots.clear()
+        most = max(zones.values(), default=0)
+        self.most_slots[key] = self.owner.now + 8 * TICK_S, most
+        return most
+
     def most_machines(self, spec: Job) -> str:
         """The shard with most machines that a job may use."""
         counts = dict.fromkeys(sorted(self.owner.settings.nodes), 0)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -117,7 +117,7 @@
     w = fleet(3, 24)
     w.submit("n0", job(1, hands=20, vcpus=4.0, **GANG))
     w.submit("n0", job(2, hands=21, vcpus=4.0, **GANG))
-    home = next(n for n in w.owners if w.owners[n].calls.home(w.owners[n].jobs["run-000001"]) == n)
+    home = next(n for n in w.owners if w.owners[n].shards.home(w.owners[n].jobs["run-000001"]) == n)
     w.until(lambda: bool(w.owners[home].calls.mine), 10)
     owner = w.owners[home]
     calls = {call.job: call for call in owner.calls.mine}
--- /dev/null
+++ b/tests/test_largest.py
@@ -0,0 +1,109 @@
+"""The largest jobs of a class begin within four minutes, behind streams of smaller ones."""
+
+from typing import Any
+
+import pytest
+
+from sagecove.lab.deployment import job
+from sagecove.lab.world import World
+from tests.test_limits import started, team
+
+MOST_S = 240.0
+# Two on a machine of 4 GPUs, in one zone.
+GANG: dict[str, Any] = {
+    "shape": "ensemble",
+    "vcpus": 6.0,
+    "cards": 2,
+    "memoryGb": 8.0,
+    "rank": "urgent",
+    "samePlace": True,
+    "reckonS": 24.0,
+}
+
+
+def full(nodes: int, machines: int, zones: str, *teams: dict[str, Any]) -> World:
+    """Machines with 4 GPUs, none to be rented, tasks that take what they reckon."""
+    w = World(nodes=nodes, seed=nodes, teams=list(teams))
+    w.cloud.capacity = {"small": 0, "gpu": machines}
+    w.run(3)
+    for n in range(machines):
+        w.cloud.start("gpu", zones[n % len(zones)], False)
+    w.run(5)
+    for worker in w.workers.values():
+        worker.run_s = None
+    return w
+
+
+def stream(w: World, gap_s: float, **fields: Any) -> list[int]:
+    """Small gangs, one after the other, as many as keep the room full."""
+    sent: list[int] = []
+
+    def send() -> None:
+        number = 1000 + len(sent)
+        sent.append(number)
+        spec = job(number, **{**GANG, "hands": 1, **fields})
+        w.ask(f"n{number % w.nodes}", "POST", "/api/jobs", w.spec(spec), lambda s, b: None)
+        w.later(gap_s, send)
+
+    send()
+    return sent
+
+
+def served(w: World, numbers: list[int]) -> float:
+    return sum(started(w, n) > 0 for n in numbers) / len(numbers)
+
+
+@pytest.mark.parametrize(("nodes", "zones"), [(3, "a"), (5, "a"), (3, "ab")])
+def test_a_large_gang_starts_behind_a_stream_of_small_ones(nodes: int, zones: str) -> None:
+    # Its tasks share machines, so that nothing was kept for it anywhere: small ones of its own
+    # standing took each pair of GPUs that came free, for as long as they came.
+    w = full(nodes, 2 * nodes, zones, team("red", 0, 0))
+    small = stream(w, 24.0 / (4 * nodes) / 1.2)
+    w.run(30)
+    w.submit("n0", job(1, **GANG, hands=4))
+    w.until(lambda: started(w, 1) == 4, MOST_S)
+    begun = w.now
+    w.run(60)
+    # Nor do the small ones starve.
+    early = [n for n in small if 1000 + (begun - 1030) / 0.5 > n][: len(small) // 2]
+    assert served(w, early) > 0.5
+
+
+@pytest.mark.parametrize("nodes", [3, 5])
+def test_a_large_gang_starts_at_its_teams_limit(nodes: int) -> None:
+    # Room there is, but the limit was used up by smaller ones of its team, one after the other.
+    most = {"name": "red", "cpus": 0, "cpus_max": 0, "gpus": 0, "gpus_max": 12}
+    w = full(nodes, 3 * nodes, "a", most)
+    stream(w, 24.0 / 6 / 1.2)
+    w.run(30)
+    w.submit("n0", job(1, **GANG, hands=5))
+    w.until(lambda: started(w, 1) == 5, MOST_S)
+
+
+def test_two_gangs_that_each_need_more_than_half_of_the_room_start_in_turn() -> None:
+    w = full(3, 6, "a", team("red", 0, 0), team("blue", 0, 0))
+    small = stream(w, 1.8)
+    w.run(30)
+    w.submit("n0", job(1, **GANG, hands=8))
+    w.submit("n1", job(2, **{**GANG, "outfit": "blue"}, hands=8))
+    w.until(lambda: started(w, 1) == 8 and started(w, 2) == 8, MOST_S)
+    assert small
+
+
+def test_nothing_is_kept_for_a_gang_that_the_fleet_cannot_hold() -> None:
+    w = full(3, 6, "ab", team("red", 0, 0))
+    small = stream(w, 24.0 / 12 / 1.2)
+    # Seven tasks in one zone, which has room for six.
+    w.submit("n0", job(1, **GANG, hands=7))
+    w.run(120)
+    assert started(w, 1) == 0
+    assert served(w, small[: len(small) // 2]) > 0.8
+
+
+def test_the_largest_array_begins_behind_smaller_ones() -> None:
+    w = full(3, 6, "a", team("red", 0, 0))
+    fields = {"shape": "sweep", "rank": "normal", "samePlace": False, "vcpus": 3.0, "cards": 1}
+    stream(w, 0.8, **fields, hands=1)
+    w.run(30)
+    w.submit("n0", job(1, **{**GANG, **fields}, hands=200))
+    w.until(lambda: started(w, 1) > 0, MOST_S)
