--- a/sagecove/coordination/claims/candidates.py
+++ b/sagecove/coordination/claims/candidates.py
@@ -72,6 +72,9 @@
                 continue
             if p.halt is not None:
                 room = _with(room, p)
+            elif most_loss is not None and not p.job.array:
+                # With one task a whole gang stops, and takes its time to save.
+                continue
             elif may_stop(job, p.job) and stopping.worth(patience, p.job, p):
                 victims.append(p)
         victims.sort(key=lambda p: (p.job.priority if p.job else 0, -p.started_at))
--- a/sagecove/coordination/claims/placing.py
+++ b/sagecove/coordination/claims/placing.py
@@ -161,9 +161,13 @@
                 return False
             keep_reserved(promised, job)
             return True
-        if now - job.seen_at > 4 * self.ground.poll_s or job.attempt:
+        if now - job.seen_at > 4 * self.ground.poll_s or job.attempt or job.reserved:
+            # Room made for it without regard to images is to be used: left for a moment, it was
+            # taken by those who had been stopped for it, and made again, a hundred times over.
             return False
         if not self.ground.making:
+            for _, machine in planned:
+                promise(promised, machine.name, job.spec)
             return True
         if len(self.warming) > WARMING_MOST:
             self.warming.clear()
--- a/tests/test_images.py
+++ b/tests/test_images.py
@@ -200,3 +200,18 @@
     assert w.until(lambda: w.running("run-000002") == hands, 30) < 5.0
     # No more was stopped than it needs.
     assert w.running("run-000001") == 36 - 2 * hands
+
+
+def test_room_made_for_a_gang_is_not_taken_by_those_who_were_stopped_for_it() -> None:
+    # While it was weighed whether to make room beside its image instead, what had come free was
+    # kept for nobody: on a bench day one gang stopped 107 tasks in five seconds.
+    w = full_world("a")
+    array = {"vcpus": 3.0, "cards": 1, "memoryGb": 8.0, "outfit": "guests", "reckonS": 500.0}
+    w.submit("n0", job(1, **array, hands=60, bundle="other", sizeGb=0.1))
+    w.until(lambda: w.running("run-000001") == 36, 30)
+    begun = len(w.starts)
+    w.submit("n1", job(2, **GANG, hands=4, rank="urgent", reckonS=60.0))
+    assert w.until(lambda: w.running("run-000002") == 4, 30) < 3.0
+    w.run(5)
+    # Eight GPUs were wanted, eight tasks stopped, and nothing else began.
+    assert len(w.starts) - begun == 4 and w.running("run-000001") == 28
