Machines that do not hear, late copies of reports, machines that begin anew

The added rules' troubles, played by stories first: launches waited for good on a machine whose reports went on while nothing reached it; a copy of a report of a machine that is gone had it taken in again by a controller that had restarted; a machine that came back with a session and counter that look old was refused until it was returned. Echoes count, not reports (coordination/reach.py); what looks old is asked (GET /show) before it is believed; what began anew gets a new token first.

--- a/sagecove/coordination/claims/making.py
+++ b/sagecove/coordination/claims/making.py
@@ -149,9 +149,13 @@
         held back. Only what the array itself takes matters: gangs that wait for their team's GPUs
         kept its arrays from CPUs that nobody used. Gangs may go ahead of larger ones for a while,
         but not for good: at its team's limit one was passed by as long as smaller ones came."""
+        if job.service or (job.gang and claimed):
+            # What a gang has claimed is its own: two at their team's limit waited for each other,
+            # one for the other's claim to end, that one for room within the limit.
+            return wanted
         table = self.ground.held_back if job.array else self.ground.held_long
         held = table.get(job.spec.team)
-        if held is None or job.service:
+        if held is None:
             return wanted
         left = self.limits.left(job.spec.team)
         for n, each in enumerate((job.spec.cpus, job.spec.gpus)):
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -311,6 +311,19 @@
         self.over_session = -1
         self.known = False
         self.ever_heard = False
+        # See `Reach`: the last report that came as such, the last answered, and with what token.
+        self.hello_seq = 0
+        self.answered_seq = 0
+        self.answered_token = 0
+        self.echoed = 0
+        self.session_at = 0.0
+        self.unechoed = 0
+        self.deaf_at: float | None = None
+        self.mute_until = -1e9
+        # Tokens up to this one may still be in commands from before the worker began anew.
+        self.fence = 0
+        self.asking = False
+        self.asked_at = -1e9
         self.addr = self.record.addr
         self.heard_at = now
         self.answered_at = now
@@ -353,6 +366,7 @@
             and not self.notice
             and not self.sick
             and not self.handing
+            and self.deaf_at is None
             and not self.murky
             and self.kind is not None
         )
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -18,6 +18,7 @@
 from sagecove.coordination import images
 from sagecove.coordination.effects import Reply
 from sagecove.coordination.model import SENT, Machine, Placement
+from sagecove.coordination.reach import Reach
 from sagecove.protocol import workers as w
 from sagecove.protocol.users import Refusal
 from sagecove.storage.records import HOLDER, MachineRecord
@@ -61,6 +62,7 @@
             *(3 * pace.report_s, pace.lease_s / 3),
             1.25 * pace.report_s + self.call_s + 1.5,
         )
+        self.reach = Reach(owner, self.lease_over, self.halt)
         self.adopting: set[str] = set()
         # Machines with orders that should not wait for the next report.
         self.urgent: dict[str, Machine] = {}
@@ -103,14 +105,33 @@
                 owner.effects.append(Reply(exchange, 503, Refusal("no authority at the moment")))
             return
         token = max(shard.term, machine.stamp)
-        if self._newer(machine, report.session, report.seq):
+        if now < machine.mute_until:
+            machine.heard_at = now
+            owner.effects.append(Reply(exchange, 503, Refusal("answers do not reach you")))
+            return
+        if self._newer(machine, report):
             self.read(machine, report, hands, token, hello=True)
-        elif report.session != machine.session or report.session <= machine.over_session:
+            machine.hello_seq = report.seq
+        elif (
+            report.session != machine.session
+            or report.session <= machine.over_session
+            or report.seq <= machine.hello_seq
+            or report.token < machine.brand
+        ):
+            # A late copy: it renews, revives and ends nothing. Or the worker began anew.
+            if report.seq != machine.hello_seq or report.session != machine.session:
+                self.reach.ask(machine, report.addr, lambda: self._began_anew(machine))
             owner.effects.append(Reply(exchange, 503, Refusal("report is out of date")))
             return
+        if token <= machine.fence:
+            # An old launch under this token may still arrive, and would be obeyed.
+            self._fence(machine)
+            owner.effects.append(Reply(exchange, 503, Refusal("a new token is needed")))
+            return
         # Otherwise a direct command's answer has overtaken it: the list is old, but the worker
         # waits for this answer.
         machine.answered_at = now
+        machine.answered_seq, machine.answered_token = report.seq, token
         orders: list[w.Order] = []
         if machine.known and not machine.settled:
             orders = self.orders(machine, report.seq)
@@ -182,8 +203,34 @@
             if now - m.stranger_at < 2 * self.pace.report_s
         ]
 
-    def _newer(self, machine: Machine, session: int, seq: int) -> bool:
-        return session > machine.over_session and (session, seq) > (machine.session, machine.seq)
+    @staticmethod
+    def _newer(machine: Machine, report: w.Report) -> bool:
+        """It was sent after all that has been seen of this machine. A worker's token only grows: a
+        late copy from before it began anew may have a larger session."""
+        return (
+            report.session > machine.over_session
+            and report.token >= machine.brand
+            and (report.session, report.seq) > (machine.session, machine.seq)
+        )
+
+    def _began_anew(self, machine: Machine) -> None:
+        """A worker takes any token now, one of a launch that is still under way included."""
+        shard = self.owner.held.get(machine.record.shard)
+        if shard is not None:
+            machine.fence = max(shard.term, machine.stamp)
+            self._fence(machine)
+
+    def _fence(self, machine: Machine) -> None:
+        """Give a machine a token that no command from before has: write its record."""
+        shard = self.owner.held.get(machine.record.shard)
+        if shard is None or shard.yielding or machine.committing:
+            return
+        machine.committing = True
+
+        def done(result: Result) -> None:
+            machine.committing = False
+
+        self.owner.put_machine(machine.name, machine.record, machine.stamp, shard, done)
 
     def _adopt(self, report: w.Report, body: bytes, exchange: object) -> bool:
         """A machine that reports and has no record: up before its rental's answer came or was
@@ -215,7 +262,16 @@
             else:
                 owner.effects.append(Reply(exchange, 503, Refusal("machine unknown as yet")))
 
-        owner.put_machine(name, record, 0, shard, done)
+        def said(status: int | None, answer: bytes) -> None:
+            # A late copy of a report must not bring back a machine that is gone.
+            now = decode(answer, w.Report) if status == 200 else None
+            there = now is not None and now.machine == name
+            if there and owner.held.get(node) is shard and name not in owner.machines:
+                owner.put_machine(name, record, 0, shard, done)
+            else:
+                done(Result(Outcome.REFUSED))
+
+        owner.call(report.addr, "GET", "/show", None, self.call_s / 2, said)
         return True
 
     @staticmethod
@@ -252,6 +308,8 @@
                     report.session,
                     "report" if hello else "direct answer",
                 )
+            self.reach.new_session(now, machine)
+            machine.hello_seq = 0
             self.forget_tasks(machine)
             # The new session may have begun only now, and has its lease from then on, whoever told
             # of it: counted from the last answer to a report, a session that a direct command's
@@ -270,8 +328,10 @@
             machine.notice = True
         if report.token < token:
             machine.settled = False
+            if hello:
+                self.reach.told(now, machine, report.seq, token)
             return
-        if hands is None and machine.settled:
+        if hands is None and machine.settled and machine.deaf_at is None:
             return
         if hands is None:
             hands = w.read_hands(report.tasks)
@@ -313,6 +373,8 @@
                 gone = not placement.in_flight
             if gone:
                 self.drop(machine, placement)
+        if hello:
+            self.reach.told(now, machine, report.seq, token)
         if machine.notice:
             self._save(machine)
         if machine.strays or strays:
@@ -481,6 +543,8 @@
                 and machine.empty
             ):
                 self.leave(machine, "sick")
+        for machine in self.reach.lost(now):
+            self.leave(machine, "does not hear")
 
     def _cut_off(self, now: float, machines: list[Machine]) -> set[str]:
         """Zones of which much has not been heard for a moment while others are: the way to them is
@@ -614,7 +678,7 @@
                 hands = w.read_hands(report.tasks)
             except (msgspec.MsgspecError, UnicodeDecodeError):
                 return
-            if self._newer(machine, report.session, report.seq):
+            if self._newer(machine, report):
                 self.read(machine, report, hands, max(shard.term, machine.stamp), hello=False)
 
         return done
--- a/sagecove/lab/models.py
+++ b/sagecove/lab/models.py
@@ -389,6 +389,12 @@
         self.world.ask(self.node, "POST", "/hello", self.body(), once)
         self.world.later(4.0, lambda: once(None, b""))
 
+    def restart(self) -> None:
+        """The machine is back at once, with nothing it had: no task, no token, session 1."""
+        self.tasks = {}
+        self.session, self.seq, self.token = 1, 0, 0
+        self.lease_from = self.world.now
+
     def next_node(self) -> None:
         """Try the next node 1 s later."""
         names = self.world.controllers()
--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -196,7 +196,10 @@
             if worker.info["addr"] == call.target and not worker.dead:
                 if worker.name in self.unreached:
                     return
-                if worker.cut or worker.cut_direct:
+                if call.path == "/show":
+                    if not worker.cut and not worker.cut_direct:
+                        answer(200, json.dumps(worker.body()).encode())
+                elif worker.cut or worker.cut_direct:
                     worker.held.append(raw)
                 else:
                     answer(*worker.commands(raw))
--- a/tests/test_largest.py
+++ b/tests/test_largest.py
@@ -90,6 +90,16 @@
     assert small
 
 
+def test_two_gangs_at_one_limit_do_not_wait_for_each_other() -> None:
+    # Found by the machine of three controllers: one had claimed and was held back for the other.
+    w = full(3, 6, "a", {"name": "red", "cpus": 0, "cpus_max": 0, "gpus": 0, "gpus_max": 10})
+    for n in range(3):
+        w.submit("n0", job(100 + n, **{**GANG, "shape": "sweep", "rank": "normal"}, hands=8))
+    w.submit("n1", job(1, **GANG, hands=4))
+    w.submit("n2", job(2, **GANG, hands=4))
+    w.until(lambda: started(w, 1) == 4 and started(w, 2) == 4, MOST_S)
+
+
 def test_nothing_is_kept_for_a_gang_that_the_fleet_cannot_hold() -> None:
     w = full(3, 6, "ab", team("red", 0, 0))
     small = stream(w, 24.0 / 12 / 1.2)
