Known and served, as the checker sees it; a controller alone is not ready and sends nobody astray

Two finds: /ready was 200 on a controller that heard neither the state service nor any peer, so that users' connections stayed with it; and two such controllers sent each other's workers to and fro by their old mirrors until the workers' leases were over.

--- a/sagecove/coordination/requests.py
+++ b/sagecove/coordination/requests.py
@@ -90,15 +90,14 @@
             return False
         if self.owner.now - self.owner.sync.synced_at < 3.0:
             return True
-        if self.owner.sync.synced_at < self.owner.present_since and not self.owner.peers.hints:
-            # It stood still, and has heard of nobody since.
+        heard = [hint for at, hint in self.owner.peers.hints.values() if self.owner.now - at < 3.0]
+        if not heard and self.owner.settings.peers:
+            # It stood still, or is alone, perhaps with its workers: others may be served, and users
+            # whose connections it kept were told 503 for as long as that lasted.
             return False
         # In an outage of the state service everybody is refused: being taken out of balance would
         # only delay the return. Refused alone, this node lets the others answer.
-        return not any(
-            self.owner.now - at < 3.0 and hint.connected
-            for at, hint in self.owner.peers.hints.values()
-        )
+        return not any(hint.connected for hint in heard)
 
     def retry_hint(self) -> float:
         """When a refused user should come back."""
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -162,6 +162,11 @@
             # going back would cost it a timeout, and with a second one its lease and its tasks.
             self._park(machine, exchange)
             return
+        if not reachable and now - owner.sync.synced_at > owner.leadership.length:
+            # Who holds the shard by now is not known here. Two controllers that were alone sent
+            # each other's workers to and fro until their leases were over; the third had the shard.
+            owner.effects.append(Reply(exchange, 503, Refusal("no authority at the moment")))
+            return
         if machine.relaying and now - machine.stranger_at < self.pace.lease_s:
             back = True
         machine.stranger_at = now
--- a/sagecove/lab/rules.py
+++ b/sagecove/lab/rules.py
@@ -10,6 +10,11 @@
 from sagecove.lab.deployment import CANCEL_S, LEASE_S, TEAMS
 from sagecove.lab.models import FakeWorker
 
+# The operators' addition to the rules (seconds; share).
+FORGOTTEN_S = 75.0
+BEGIN_S = 240.0
+HALF = 0.5
+
 
 class RuleBroken(AssertionError):
     """A rule of PROTOCOL was broken: its name, and by what."""
@@ -37,6 +42,11 @@
         self.teams = TEAMS
         # (time, task, machine).
         self.starts: list[tuple[float, str, str]] = []
+        # When jobs were first submitted; accepted ones of which no question is answered, and since
+        # when; and when all troubles were over (None: they are not).
+        self.submitted: dict[str, float] = {}
+        self.unanswered: dict[str, float] = {}
+        self.calm_at: float | None = None
 
     def describe(self, job_id: str, done: Callable[[dict[str, Any] | None], None]) -> None:
         """A job's description, as workers fetch it: what its user has uploaded."""
@@ -88,13 +98,23 @@
                     continue
                 used[spec["outfit"]] = used.get(spec["outfit"], 0.0) + spec["vcpus"]
                 self._check_cancelled(job_id)
+        if self.calm_at is not None:
+            for job_id, since in self.unanswered.items():
+                if self.now - max(since, self.calm_at) > FORGOTTEN_S:
+                    raise RuleBroken(f"forgotten {job_id}: no question answered")
         for team in self.teams:
             if team["cpus_max"] and used.get(team["name"], 0.0) > team["cpus_max"] + 1e-6:
                 raise RuleBroken(f"quota {team['name']} uses {used[team['name']]} CPUs")
 
     def answered(self, job_id: str, status: int, answer: Any, *, submitted: bool) -> None:
-        """A user was given an answer about one job."""
+        """A user was given an answer about one job (status 0: none)."""
         before = self.told.get(job_id)
+        if submitted:
+            self.submitted.setdefault(job_id, self.now)
+        if status in (200, 201):
+            self.unanswered.pop(job_id, None)
+        elif before is not None:
+            self.unanswered.setdefault(job_id, self.now)
         if status == 404 and before is not None:
             raise RuleBroken(f"forgotten {job_id} was {before}")
         if submitted and status in (400, 422) and before is not None:
@@ -114,6 +134,32 @@
         if state == "aborted":
             self.cancelled.setdefault(job_id, self.now)
 
+    def served(self, by: str = "herd") -> dict[str, float]:
+        """Share of accepted jobs that weren't cancelled and began within four minutes (a gang or
+        service with all its tasks), by class or, with `outfit`, team; the largest of each class, of
+        which there is another size, apart."""
+        begun: dict[str, set[str]] = {}
+        for at, task, _ in self.starts:
+            job_id = task.split("/")[0]
+            if at - self.submitted.get(job_id, at) <= BEGIN_S:
+                begun.setdefault(job_id, set()).add(task)
+        groups: dict[str, list[bool]] = {}
+        jobs = [self.specs[j] for j in self.told if j in self.specs and j not in self.cancelled]
+        for spec in jobs:
+            tasks = len(begun.get(spec["nameId"], ()))
+            good = tasks >= (1 if spec["shape"] == "sweep" else spec["hands"])
+            groups.setdefault(spec[by], []).append(good)
+            sizes = {s["hands"] for s in jobs if s["herd"] == spec["herd"]}
+            if len(sizes) > 1 and spec["hands"] == max(sizes):
+                groups.setdefault(f"largest {spec['herd']}", []).append(good)
+        return {name: sum(good) / len(good) for name, good in groups.items()}
+
+    def check_served(self) -> None:
+        """Less than half of a class, a team or a class's largest jobs fails the day."""
+        for name, share in {**self.served(), **self.served("outfit")}.items():
+            if share < HALF:
+                raise RuleBroken(f"served {name}: {share:.2f}")
+
     def running(self, job_id: str) -> int:
         """How many of a job's tasks are on machines."""
         return sum(
--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -246,8 +246,9 @@
         begun = self.now
         while not got and self.now - begun < 6:
             self.run(0.02)
-        if got and path.startswith("/api/jobs"):
-            self.answered(self._about(path, body), *got[0], submitted=path == "/api/jobs")
+        if path.startswith("/api/jobs"):
+            told = got[0] if got else (0, None)
+            self.answered(self._about(path, body), *told, submitted=path == "/api/jobs")
         if got and (method, path) == ("POST", "/api/sweeps") and got[0][0] in (200, 201):
             self.sweeps.add(body["id"])
         return got[0] if got else (0, None)
@@ -258,6 +259,26 @@
             return str(body.get("nameId")) if isinstance(body, dict) else ""
         return path.split("/")[3]
 
+    def poll_all(self, gap_s: float = 5.0) -> None:
+        """From now on users ask for each accepted job every few seconds, at any controller."""
+        for job_id in list(self.told):
+            if self.told[job_id] not in ("done", "aborted"):
+                self._poll(job_id)
+        self.later(gap_s, lambda: self.poll_all(gap_s))
+
+    def _poll(self, job_id: str) -> None:
+        told: list[int] = []
+
+        def answer(status: int | None, raw: bytes) -> None:
+            if not told:
+                told.append(status or 0)
+                body = json.loads(raw) if raw else None
+                self.answered(job_id, status or 0, body, submitted=False)
+
+        node = self.random.choice(self.controllers())
+        self.ask(node, "GET", f"/api/jobs/{job_id}", b"", answer)
+        self.later(2.0, lambda: answer(None, b""))
+
     def spec(self, spec: dict[str, Any]) -> dict[str, Any]:
         """Make a submission known to the workers."""
         self.specs[spec["nameId"]] = spec
