Records of huge arrays fit a value whatever completes first; unreadable ones stay known

A property test found it: numbers of 100,000 tasks take up to 16 KiB, and as much for each shard's claim; past the state service's value limit (8 KiB on the annex) no result of the array could be written any more. So much is claimed at a time as the record has room for in the worst order. A job's record that can't be read was taken for a deletion, and its job told to be unknown (404).

--- a/sagecove/coordination/claims/competing.py
+++ b/sagecove/coordination/claims/competing.py
@@ -25,13 +25,15 @@
 from sagecove.coordination.ports import Desk, Syncing, Territory
 from sagecove.protocol import state as wire
 from sagecove.storage import taskset
-from sagecove.storage.records import HOLDER, JOB
+from sagecove.storage.records import HOLDER, JOB, tasks_most
 from sagecove.storage.store import Outcome, Result
 
 # The paper's batchSize bounds what one poll claims; here: claims under way at one time.
 BATCH = 4
 # Controllers that were beaten to a record come back one after the other, so many in a poll.
 TURNS = 12
+# Arrays of fewer tasks fit any value, however their tasks complete.
+LARGE = 1000
 # Tasks of an array for which a share of its team's limit is asked at one time.
 ASK_MOST = 200
 
@@ -175,7 +177,21 @@
             return
         if count < wanted:
             self._ask(now, shard.name, job, machines, promised, min(count, planned))
-        self.claim(job, shard, taskset.lowest(bits, count))
+        if (count := self.writable(job, count)) > 0:
+            self.claim(job, shard, taskset.lowest(bits, count))
+
+    def writable(self, job: JobRun, count: int) -> int:
+        """How many of `count` more tasks the job's record has room for, whatever completes first.
+        At 8 KiB a value the record of a huge array outgrew it, and none of its results could be
+        written any more."""
+        if not job.array or job.home is not None or job.spec.tasks < LARGE:
+            return count
+        held = job.every & ~job.fin & ~job.unclaimed
+        settings = self.desk.settings
+        most = tasks_most(
+            job.record, job.fin, held, len(settings.nodes), settings.params.state.value_kb
+        )
+        return min(count, most - held.bit_count())
 
     def _part(self, now: float, job: JobRun, shard: str) -> int:
         """For how many more tasks of a job this shard is to make room: those that borrow give back
--- a/sagecove/coordination/sync.py
+++ b/sagecove/coordination/sync.py
@@ -35,6 +35,8 @@
         self.page_items: dict[str, Item] = {}
         self.page_ledger = 0
         self.page_begun = 0.0
+        # Keys of jobs whose records can't be read, such as those of a later version.
+        self.unreadable: set[str] = set()
 
     def load(self, now: float) -> None:
         if self.loading or now < self.load_at:
@@ -55,7 +57,9 @@
             # Later pages may hold newer values: the watch starts from the first page's revision.
             self.page_ledger = page.revision
         for pair in page.items:
-            self.page_items[pair.key] = Item(self.owner.parse(pair.key, pair.value), pair.version)
+            value = self.owner.parse(pair.key, pair.value)
+            self._noted(pair.key, value)
+            self.page_items[pair.key] = Item(value, pair.version)
         if page.more and page.items:
             self.owner.store.page(self.owner.now, r.LIVE, page.items[-1].key, self._paged)
             return
@@ -71,6 +75,14 @@
             self.owner.leadership.cancels = self.page_ledger
             log.info("loaded keys=%d ledger=%d", len(self.owner.mirror.items), self.page_ledger)
 
+    def _noted(self, key: str, value: object) -> None:
+        """A record that can't be read is there all the same: its job was told to be unknown."""
+        if value is not None:
+            self.unreadable.discard(key)
+        elif key.startswith(r.JOB) and key not in self.unreadable:
+            log.error("unreadable record key=%s", key)
+            self.unreadable.add(key)
+
     def watch(self, now: float) -> None:
         self.watching = True
         wait_s = min(30.0, self.owner.leadership.length / 2)
@@ -116,8 +128,10 @@
                         continue
                     if change.put is not None:
                         value = self.owner.parse(change.put, change.value)
+                        self._noted(change.put, value)
                         self.owner.apply(Event(change.put, value, change.version))
                     elif change.delete is not None:
+                        self.unreadable.discard(change.delete)
                         self.owner.apply(Event(change.delete, None, change.version))
                 # Only a read that answers at once proves that nothing newer was there before it.
                 self._advance(answer.revision, begun)
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -231,6 +231,7 @@
                 ground.make_at = 0.0
         if not count or (job.whole and count < job.spec.tasks):
             return None
+        count = claims.competing.writable(job, count)
         bits = taskset.lowest(job.every, count)
         change = claims.competing.claim_change(shard, job, bits)
         return None if change is None else (change, (HOLDER + node, shard.term))
@@ -288,6 +289,11 @@
                     self._cancel(job, exchange)
                 else:
                     self._tell_live(kind, job, exchange)
+            elif JOB + job_id in owner.sync.unreadable:
+                if kind == "cancel":
+                    self.later(exchange, "the job's record can't be read here", 5.0)
+                else:
+                    self.reply(exchange, 200, u.Status(job_id, u.PENDING))
             elif job_id in self.finals:
                 self._tell_final(kind, job_id, exchange)
             elif not any(f.look_up(kind, job_id, exchange) for f in owner.features):
--- a/sagecove/storage/records.py
+++ b/sagecove/storage/records.py
@@ -12,6 +12,10 @@
 
 from sagecove.protocol.cloud import MachineType
 from sagecove.protocol.users import Job
+from sagecove.storage import taskset
+
+# No submission is longer (bytes) that is looked at without measuring it.
+SPEC_MOST = 1024
 
 LIVE = "s/"
 JOB = "s/job/"
@@ -36,6 +40,31 @@
     sweep: str = ""
 
 
+def tasks_most(record: JobRecord, fin: int, held: int, shards: int, value_kb: float) -> int:
+    """How many of a job's tasks may be claimed at a time, in all shards, so that its record fits a
+    value (KiB) in whatever order they complete: a set of thousands of numbers out of a hundred
+    thousand has no short text. `held`: tasks that are claimed."""
+    spec = record.spec
+    limit = value_kb * 1024 - 128
+    sets = (shards + 1) * taskset.text_most(spec.tasks, spec.tasks)
+    if sets + SPEC_MOST < limit:
+        return spec.tasks
+    length = len(msgspec.json.encode(record.spec)) + 64 * shards
+    # Tasks below the last that is held or finished and are neither: they part the finished ones.
+    last = (fin | held).bit_length()
+    holes = last - (fin | held).bit_count()
+    most = 1
+    step = 1 << (spec.tasks.bit_length() - 1)
+    while step:
+        count = most + step
+        text = taskset.text_most(spec.tasks, count, sets=shards)
+        text += taskset.text_most(spec.tasks, count + holes, runs=True)
+        if count <= spec.tasks and length + text < limit:
+            most = count
+        step //= 2
+    return most
+
+
 class OverRecord(msgspec.Struct):
     """A job's final state, written in the transaction that removes its live record."""
 
--- a/sagecove/storage/taskset.py
+++ b/sagecove/storage/taskset.py
@@ -74,3 +74,12 @@
             low, _, high = run.partition("-")
             bits |= full(int(high or low) - int(low) + 1) << int(low)
     return bits
+
+
+def text_most(tasks: int, members: int, *, sets: int = 1, runs: bool = False) -> int:
+    """Bytes that so many members of a job's tasks take at most as text, in one set or several; with
+    `runs`, a set in which so many are missing."""
+    digits = len(str(tasks))
+    bitmap = tasks // 8 * 5 // 4 + 2 + 64 + 2 * digits + 2
+    each = (members + 1) * (2 * digits + 2) if runs else members * (digits + 1)
+    return min(sets * bitmap, each)
--- /dev/null
+++ b/tests/test_values.py
@@ -0,0 +1,106 @@
+"""Records fit the state service's values, in whatever order tasks complete; unreadable ones."""
+
+import json
+from random import Random
+
+import msgspec
+import pytest
+
+from sagecove.coordination.model import JobRun
+from sagecove.lab.deployment import job, settings
+from sagecove.lab.world import World, standing, with_machines
+from sagecove.protocol.users import read_job
+from sagecove.storage import taskset
+from sagecove.storage.records import JobRecord, tasks_most
+
+
+@pytest.mark.parametrize("value_kb", [8.0, 16.0])
+@pytest.mark.parametrize(("tasks", "shards"), [(100_000, 3), (100_000, 9), (20_000, 5), (3_000, 3)])
+def test_an_arrays_record_fits_a_value_however_its_tasks_complete(
+    value_kb: float, tasks: int, shards: int
+) -> None:
+    # Numbers of finished tasks of 100,000 took up to 16 KiB, and as much for each shard's claim.
+    random = Random(tasks + shards)
+    spec = read_job(json.dumps(job(1, hands=tasks)).encode())
+    run = JobRun(JobRecord(spec, 1.0), 0)
+    names = [f"n{n}" for n in range(shards)]
+    for _ in range(40):
+        held = run.every & ~run.fin & ~run.unclaimed
+        most = tasks_most(run.record, run.fin, held, shards, value_kb) - held.bit_count()
+        claims = dict(run.claims)
+        bits = taskset.lowest(run.unclaimed, max(0, most))
+        for index in taskset.members(bits):
+            name = random.choice(names)
+            claims[name] = claims.get(name, 0) | 1 << index
+        done = 0
+        for index in taskset.members(held | bits):
+            if random.random() < 0.5:
+                done |= 1 << index
+        for fin in (run.fin, run.fin | done):
+            run.update(run.with_sets(fin, claims), 0)
+            assert len(msgspec.json.encode(run.record)) <= value_kb * 1024
+    # And it is not kept from what any fleet runs of it at a time.
+    assert run.fin.bit_count() > 40 * min(tasks, 300) * 0.4 or run.fin.bit_count() == tasks
+
+
+@pytest.mark.parametrize("nodes", [3, 9])
+def test_all_other_records_fit_eight_kib_with_thirty_teams(nodes: int) -> None:
+    # Hundreds of machines and jobs; settled limits, rows, members that differ, rentals.
+    teams = [
+        {
+            "name": f"team-{n:03d}-of-a-long-name",
+            "cpus": 8,
+            "cpus_max": 64,
+            "gpus": 1,
+            "gpus_max": 9,
+        }
+        for n in range(30)
+    ]
+    w = World(nodes=nodes, seed=3, teams=teams, audit=False)
+    w.cloud.capacity = {"small": 60, "gpu": 0}
+    w.run(3)
+    sizes: dict[str, int] = {}
+    whole: list[int] = []
+
+    def noted(node: str, body: dict) -> None:
+        whole.append(len(json.dumps(body)))
+        for change in body["then"]:
+            if "put" in change:
+                kind = change["put"].rpartition("/")[0][:8]
+                sizes[kind] = max(sizes.get(kind, 0), len(json.dumps(change["v"])))
+
+    w.state.hook = noted
+    for n in range(60):
+        spec = job(n, outfit=teams[n % 30]["name"], hands=12)
+        w.ask(f"n{n % nodes}", "POST", "/api/jobs", w.spec(spec), lambda s, b: None)
+    w.run(25)
+    assert sizes and max(sizes.values()) < 8 * 1024 / 2, sizes
+    # A transaction is 64 KiB at most.
+    assert max(whole) < 64 * 1024 / 2
+
+
+def test_a_batch_uses_what_a_transaction_may_hold() -> None:
+    assert settings(0, txn_ops=48).params.state.txn_ops == 48
+
+
+def test_a_job_whose_record_cannot_be_read_stays_known() -> None:
+    # Taken for a deletion, it was told to be unknown: 404 of an accepted job.
+    w = with_machines(4)
+    w.submit("n0", job(1, shape="service", hands=1))
+    w.until(lambda: w.running("run-000001") == 1, 30)
+    record = w.state.keys["s/job/run-000001"][0]
+    later = {**record, "spec": {**record["spec"], "shape": 7}}
+    w.state.commit({"if": [], "then": [{"put": "s/job/run-000001", "v": later}]})
+    w.run(1)
+    for node in w.controllers():
+        assert standing(w, node, "run-000001") == "pending"
+        assert w.submit(node, job(1, shape="service", hands=1))[0] == 200
+        assert w.user(node, "POST", "/api/jobs/run-000001/cancel")[0] == 503
+    # A controller that starts now knows no more, and one that can read it again tells.
+    w.kill("n1")
+    w.boot_node(1)
+    w.run(3)
+    assert standing(w, "n1", "run-000001") == "pending"
+    w.state.commit({"if": [], "then": [{"put": "s/job/run-000001", "v": record}]})
+    w.run(1)
+    w.until(lambda: w.running("run-000001") == 1, 60)
