A machine of troubles found a task begun twice: a session that began anew is not over

The hypothesis machine that mixes the added troubles with the old ones: a worker that began anew was given session 0 here, so that its next report (session 1) looked like a later session, what had just been launched there was taken for gone and begun elsewhere.

--- a/sagecove/coordination/reach.py
+++ b/sagecove/coordination/reach.py
@@ -140,8 +140,10 @@
             log.info("machine began anew machine=%s session=%d", machine.name, report.session)
             # Launches sent since then may have been obeyed, or may yet be: its next list that is
             # told under a token of after this tells which of its tasks are gone.
-            machine.session = machine.seq = machine.brand = 0
-            machine.hello_seq = machine.answered_seq = 0
+            # Its session is this one and not over: taken for a later one, the end of what ran in it
+            # was concluded from its next report, and what had just been launched began elsewhere.
+            machine.session = report.session
+            machine.seq = machine.brand = machine.hello_seq = machine.answered_seq = 0
             machine.over_session = -1
             machine.known = machine.settled = False
             machine.unechoed = 0
--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -242,7 +242,8 @@
     def user(self, node: str, method: str, path: str, body: Any = b"") -> tuple[int, Any]:
         """A user's request, waited for."""
         got: list[tuple[int, Any]] = []
-        self.ask(node, method, path, body, lambda s, b: got.append((s or 0, json.loads(b))))
+        answer = lambda s, b: got.append((s or 0, json.loads(b) if b else None))  # noqa: E731
+        self.ask(node, method, path, body, answer)
         begun = self.now
         while not got and self.now - begun < 6:
             self.run(0.02)
--- /dev/null
+++ b/tests/test_trouble_machine.py
@@ -0,0 +1,127 @@
+"""Three controllers and their machines under the added rules' troubles and the old ones, mixed: no
+rule breaks, and afterwards every job is known, runs and ends."""
+
+from typing import Any
+
+from hypothesis import Phase
+from hypothesis import settings as how
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from sagecove.lab.deployment import LEASE_S, job
+from sagecove.lab.world import World
+
+NODES = st.sampled_from(["n0", "n1", "n2"])
+SHAPES: list[dict[str, Any]] = [
+    {"hands": 4},
+    {"hands": 3, "shape": "ensemble", "rank": "urgent", "samePlace": True},
+    {"hands": 3, "shape": "service", "rank": "production", "vcpus": 1.0},
+]
+
+
+class Troubled(RuleBasedStateMachine):
+    """`World` holds all that happens against PROTOCOL's rules, and `forgotten` once it is calm."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.w = World(nodes=3, seed=7)
+        self.w.refuses = True
+        self.w.cloud.capacity = {"small": 9, "gpu": 0}
+        self.w.run(2)
+        for number in range(9):
+            self.w.cloud.start("small", "ab"[number % 2], False)
+        self.w.run(5)
+        self.w.poll_all()
+        self.count = 0
+        self.services: list[str] = []
+
+    def worker(self, number: int) -> Any:
+        names = sorted(self.w.workers)
+        return self.w.workers[names[number % len(names)]] if names else None
+
+    @rule(node=NODES, shape=st.sampled_from(SHAPES))
+    def submit(self, node: str, shape: dict[str, Any]) -> None:
+        self.count += 1
+        status, _ = self.w.submit(node, job(self.count, **shape))
+        if status in (200, 201) and shape.get("shape") == "service":
+            self.services.append(f"run-{self.count:06d}")
+
+    @rule(node=NODES, back_s=st.sampled_from([0.05, 0.3, 0.9, 7.0]))
+    def end_and_return(self, node: str, back_s: float) -> None:
+        if node in self.w.owners:
+            self.w.kill(node)
+            self.w.later(
+                back_s,
+                lambda: None if node in self.w.owners else self.w.boot_node(int(node[1:])),
+            )
+
+    @rule(number=st.integers(0, 8))
+    def machine_does_not_hear(self, number: int) -> None:
+        if (worker := self.worker(number)) is not None:
+            self.w.unreached.add(worker.name)
+
+    @rule(number=st.integers(0, 8), delay=st.sampled_from([1.0, 5.0, 30.0]))
+    def reports_come_once_more(self, number: int, delay: float) -> None:
+        if (worker := self.worker(number)) is not None:
+            self.w.copies[worker.name] = [delay]
+
+    @rule(number=st.integers(0, 8))
+    def machine_begins_anew(self, number: int) -> None:
+        if (worker := self.worker(number)) is not None:
+            worker.restart()
+
+    @rule(node=NODES, refusing=st.booleans())
+    def alone_with_its_workers(self, node: str, refusing: bool) -> None:
+        self.w.part([node], [n for n in ("n0", "n1", "n2") if n != node])
+        if refusing:
+            self.w.state.refused.add(node)
+        else:
+            self.w.cut_links.add((node, "state"))
+
+    @rule(node=NODES, seconds=st.sampled_from([1.0, 5.0, 10.0]))
+    def stand_still(self, node: str, seconds: float) -> None:
+        if node in self.w.owners:
+            self.w.still[node] = self.w.now + seconds
+
+    @rule(verdict=st.sampled_from(["lost", "late", "unanswered"]))
+    def transactions_go_astray(self, verdict: str) -> None:
+        self.w.state.hook = lambda node, body: verdict if self.w.random.random() < 0.2 else None
+
+    @rule()
+    def mend(self) -> None:
+        self.w.cut_links.clear()
+        self.w.state.refused.clear()
+        self.w.unreached.clear()
+        self.w.copies.clear()
+        self.w.state.hook = None
+
+    @rule(seconds=st.sampled_from([0.3, 2.0, 6.0, LEASE_S]))
+    def wait(self, seconds: float) -> None:
+        self.w.run(seconds)
+
+    def teardown(self) -> None:
+        self.mend()
+        self.w.run(10)
+        for number in range(3):
+            if f"n{number}" not in self.w.owners:
+                self.w.boot_node(number)
+        self.w.calm_at = self.w.now
+        for name in self.services:
+            begun = self.w.now
+            while self.w.user("n0", "POST", f"/api/jobs/{name}/cancel")[0] != 200:
+                assert self.w.now - begun < 75
+                self.w.run(1)
+        accepted = [self.w.specs[j] for j in self.w.told if j not in self.services]
+        wanted = {f"{s['nameId']}/{n}" for s in accepted for n in range(s["hands"])}
+        self.w.until(lambda: wanted <= self.w.completed, 240)
+
+
+Troubled.TestCase.settings = how(
+    max_examples=40,
+    stateful_step_count=18,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    phases=(Phase.generate,),
+)
+TestTroubled = Troubled.TestCase
