--- a/sagecove/coordination/explain.py
+++ b/sagecove/coordination/explain.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from sagecove.config import UNLIMITED
+from sagecove.coordination.claims.making import LONG_BOOTS
 from sagecove.coordination.limits.limits import Limits
 from sagecove.coordination.limits.records import Amount
 from sagecove.coordination.model import PARTS, JobRun, Machine, parts, precedence
@@ -27,6 +28,12 @@
     def holder_of(self, shard: str) -> str | None:
         """The node that holds a shard, as far as is known."""
 
+    def home(self, job: JobRun) -> str:
+        """The shard that a gang is served in which fits nowhere yet."""
+
+    def could_hold(self, job: JobRun) -> bool:
+        """The fleet as it is, were it empty, has room for all tasks of a job."""
+
 
 class Hearsay(Protocol):
     """What peers say."""
@@ -182,12 +189,25 @@
     if coming:
         text += f"; {coming} of these are booting"
     out.append(text)
+    if job.gang:
+        out.append(_whole(owner, job))
     if ahead:
         first = min(ahead, key=precedence)
         out.append(f"{len(ahead)} jobs come first, such as {first.id}: {_rule(first, job)}")
     return out
 
 
+def _whole(owner: Known, job: JobRun) -> str:
+    """From when on room is kept for a gang, or why it is not."""
+    if not owner.shards.could_hold(job):
+        where = "in one zone " if job.spec.one_zone else ""
+        return f"the machines there are could not hold all {job.spec.tasks} tasks {where}at once"
+    boot = max((t.boot_s for t in owner.types.values()), default=0.0)
+    left = job.seen_at + LONG_BOOTS * boot - owner.now
+    when = f"in {left:.0f} s" if left > 0 else "from now on"
+    return f"{when} what comes free in shard {owner.shards.home(job)} waits for it"
+
+
 def _rule(first: JobRun, job: JobRun) -> str:
     """By which rule one job comes before another."""
     if (first.priority == 3) != (job.priority == 3):
--- a/tests/test_largest.py
+++ b/tests/test_largest.py
@@ -61,6 +61,9 @@
     small = stream(w, 24.0 / (4 * nodes) / 1.2)
     w.run(30)
     w.submit("n0", job(1, **GANG, hands=4))
+    w.run(1)
+    _, told = w.user("n1", "GET", "/explain/run-000001")
+    assert any("s what comes free in shard" in why for why in told["reasons"]) or started(w, 1)
     w.until(lambda: started(w, 1) == 4, MOST_S)
     begun = w.now
     w.run(60)
@@ -107,6 +110,11 @@
     w.submit("n0", job(1, **GANG, hands=7))
     w.run(120)
     assert started(w, 1) == 0
+    status, told = w.user("n1", "GET", "/explain/run-000001")
+    assert status == 200
+    assert (
+        "the machines there are could not hold all 7 tasks in one zone at once" in told["reasons"]
+    )
     assert served(w, small[: len(small) // 2]) > 0.8
 
 
