--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -166,12 +166,13 @@
     w.run(5)
     w.cloud.request("POST", "/machines/delete", {"mounts": [one.name]}, lambda s, b: None)
     w.until(lambda: f"s/machine/{one.name}" not in w.state.keys, 60)
+    gone = w.state.ledger
     # Nobody remembers that it is gone.
     for n in range(3):
         w.kill(f"n{n}")
         w.boot_node(n)
     w.run(60)
-    assert f"s/machine/{one.name}" not in w.state.keys
+    assert not [k for at, k, v in w.state.changes if at > gone and one.name in k and v]
 
 
 # -- machines that begin anew --------------------------------------------------------------------
