--- a/sagecove/coordination/claims/competing.py
+++ b/sagecove/coordination/claims/competing.py
@@ -275,9 +275,10 @@
             zone = max(sorted(zones), key=lambda z: zones[z], default="")
             here = [m for m in here if m.record.zone == zone]
         if home == shard.name:
+            names = {m.name for m in here}
             for machine in machines:
                 more = min(count, slots(spec, room_of(machine, promised)))
-                if more > 0 and machine in here:
+                if more > 0 and machine.name in names:
                     promise(promised, machine.name, spec, more)
                     count -= more
                 if count <= 0:
--- a/sagecove/coordination/claims/making.py
+++ b/sagecove/coordination/claims/making.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from math import ceil
 
 from sagecove.coordination.claims.candidates import Candidate, find
@@ -20,6 +21,7 @@
 )
 from sagecove.coordination.ports import Desk, Halting, Territory
 from sagecove.coordination.stopping import Stopping, need
+from sagecove.protocol.cloud import MachineType
 
 # Boots of a machine after which a gang waits for long.
 LONG_BOOTS = 1.5
@@ -75,9 +77,7 @@
         spec = job.spec
         held = self.add_held(job, job.unclaimed.bit_count())
         if job.gang and self.long_waiting(now, job):
-            long = self.ground.held_long.setdefault(spec.team, [0.0, 0.0])
-            long[0] += job.unclaimed.bit_count() * spec.cpus
-            long[1] += job.unclaimed.bit_count() * spec.gpus
+            _hold(self.ground.held_long, job, job.unclaimed.bit_count())
         if (
             not self.ground.making
             or now - job.seen_at < 2 * self.ground.poll_s / 3
@@ -133,16 +133,13 @@
 
     def add_held(self, job: JobRun, count: int) -> list[float]:
         """Hold back what tasks of a job need of its team's limit; all that its team holds back."""
-        held = self.ground.held_back.setdefault(job.spec.team, [0.0, 0.0])
-        held[0] += count * job.spec.cpus
-        held[1] += count * job.spec.gpus
-        return held
+        return _hold(self.ground.held_back, job, count)
 
     def long_waiting(self, now: float, job: JobRun) -> bool:
         """A job waits for longer than machines of its own would take to boot: smaller ones of its
         standing no longer go ahead of it."""
-        boot = max((t.boot_s for t in self.desk.types.values()), default=0.0)
-        return now - job.seen_at >= LONG_BOOTS * boot and self.shards.could_hold(job)
+        long_s = long_wait_s(self.desk.types.values())
+        return now - job.seen_at >= long_s and self.shards.could_hold(job)
 
     def limited(self, job: JobRun, wanted: int, claimed: bool = False) -> int:
         """How many tasks of an array may be claimed (or, claimed already, placed) beside what is
@@ -277,6 +274,19 @@
         return max(0, making - ceil(self.ground.pledged / max(spec.cpus, 0.1)))
 
 
+def long_wait_s(types: Iterable[MachineType]) -> float:
+    """After how long a gang waits for long (seconds)."""
+    return LONG_BOOTS * max((t.boot_s for t in types), default=0.0)
+
+
+def _hold(table: dict[str, list[float]], job: JobRun, count: int) -> list[float]:
+    """Count what tasks of a job need to what its team holds back; all of that."""
+    held = table.setdefault(job.spec.team, [0.0, 0.0])
+    held[0] += count * job.spec.cpus
+    held[1] += count * job.spec.gpus
+    return held
+
+
 def _lacks(amounts: list[float]) -> bool:
     """There is something of either resource."""
     return any(amount > EPS for amount in amounts)
--- a/sagecove/coordination/explain.py
+++ b/sagecove/coordination/explain.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from sagecove.config import UNLIMITED
-from sagecove.coordination.claims.making import LONG_BOOTS
+from sagecove.coordination.claims.making import long_wait_s
 from sagecove.coordination.limits.limits import Limits
 from sagecove.coordination.limits.records import Amount
 from sagecove.coordination.model import PARTS, JobRun, Machine, parts, precedence
@@ -202,8 +202,7 @@
     if not owner.shards.could_hold(job):
         where = "in one zone " if job.spec.one_zone else ""
         return f"the machines there are could not hold all {job.spec.tasks} tasks {where}at once"
-    boot = max((t.boot_s for t in owner.types.values()), default=0.0)
-    left = job.seen_at + LONG_BOOTS * boot - owner.now
+    left = job.seen_at + long_wait_s(owner.types.values()) - owner.now
     when = f"in {left:.0f} s" if left > 0 else "from now on"
     return f"{when} what comes free in shard {owner.shards.home(job)} waits for it"
 
--- a/sagecove/coordination/shards.py
+++ b/sagecove/coordination/shards.py
@@ -108,7 +108,7 @@
         """The shard that a gang of whole machines belongs to: the one with most machines for it.
         None if several of its tasks share a machine, which any shard can provide."""
         spec = job.spec
-        needs = (*(spec.types or ()), spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory_gb)
+        needs = _needs(spec)
         known = self.gang_homes.get(needs)
         if known is not None and self.owner.now < known[0]:
             return known[1]
@@ -140,8 +140,7 @@
 
     def _slots(self, spec: Job, shard: str | None) -> int:
         """Tasks that the machines of a shard (None: of all) have room for when they are empty."""
-        needs = (*(spec.types or ()), spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory_gb)
-        key = (*needs, spec.one_zone, shard)
+        key = (*_needs(spec), spec.one_zone, shard)
         known = self.most_slots.get(key)
         if known is not None and self.owner.now < known[0]:
             return known[1]
@@ -183,3 +182,8 @@
                 indexes = list(taskset.members(taskset.lowest(bits, 200)))
                 plan(job, indexes, machines, self.owner.random, promised)
         return promised
+
+
+def _needs(spec: Job) -> tuple[object, ...]:
+    """What decides on which machines a task may be."""
+    return (*(spec.types or ()), spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory_gb)
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -234,6 +234,8 @@
 
         def done(result: Result) -> None:
             machine.committing = False
+            if result.outcome is Outcome.DONE:
+                log.info("token raised machine=%s", machine.name)
 
         self.owner.put_machine(machine.name, machine.record, machine.stamp, shard, done)
 
@@ -697,25 +699,15 @@
             ):
                 del self.doubted[name]
                 continue
-            if machine.committing:
-                continue
             shard = owner.held.get(machine.record.shard)
-            if shard is None or shard.yielding:
+            if shard is None:
                 continue
             token = max(shard.term, machine.stamp)
-            for placement in machine.tasks.values():
-                if placement.doubt_token >= token and (
-                    placement.state == w.EXITED or placement.halt is not None
-                ):
-                    machine.committing = True
-
-                    def done(result: Result, machine: Machine = machine) -> None:
-                        machine.committing = False
-                        if result.outcome is Outcome.DONE:
-                            log.info("token raised machine=%s", machine.name)
-
-                    owner.put_machine(machine.name, machine.record, machine.stamp, shard, done)
-                    break
+            if any(
+                p.doubt_token >= token and (p.state == w.EXITED or p.halt is not None)
+                for p in machine.tasks.values()
+            ):
+                self._fence(machine)
 
     def halt(self, placement: Placement, grace: float, reason: str) -> None:
         """Stop a task; a second, stricter call shortens its grace."""
--- a/tests/test_values.py
+++ b/tests/test_values.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sagecove.coordination.model import JobRun
-from sagecove.lab.deployment import job, settings
+from sagecove.lab.deployment import job
 from sagecove.lab.world import World, standing, with_machines
 from sagecove.protocol.users import read_job
 from sagecove.storage import taskset
@@ -58,18 +58,20 @@
     ]
     w = World(nodes=nodes, seed=3, teams=teams, audit=False)
     w.cloud.capacity = {"small": 60, "gpu": 0}
-    w.run(3)
     sizes: dict[str, int] = {}
     whole: list[int] = []
+    changes: list[int] = []
 
     def noted(node: str, body: dict) -> None:
         whole.append(len(json.dumps(body)))
+        changes.append(len(body["then"]))
         for change in body["then"]:
             if "put" in change:
                 kind = change["put"].rpartition("/")[0][:8]
                 sizes[kind] = max(sizes.get(kind, 0), len(json.dumps(change["v"])))
 
     w.state.hook = noted
+    w.run(3)
     for n in range(60):
         spec = job(n, outfit=teams[n % 30]["name"], hands=12)
         w.ask(f"n{n % nodes}", "POST", "/api/jobs", w.spec(spec), lambda s, b: None)
@@ -77,10 +79,8 @@
     assert sizes and max(sizes.values()) < 8 * 1024 / 2, sizes
     # A transaction is 64 KiB at most.
     assert max(whole) < 64 * 1024 / 2
-
-
-def test_a_batch_uses_what_a_transaction_may_hold() -> None:
-    assert settings(0, txn_ops=48).params.state.txn_ops == 48
+    # Thirty settlements go in batches as large as the settings allow, and no larger.
+    assert max(changes) == w.owners["n0"].settings.params.state.txn_ops
 
 
 def test_a_job_whose_record_cannot_be_read_stays_known() -> None:
