A promise names what was cancelled; a refused leader stops it and serves on

Now each promise names them. The stand-in's open watches of one refused alone went on being answered: they wait.

--- a/sagecove/config.py
+++ b/sagecove/config.py
@@ -34,6 +34,11 @@
     state: Address
 
 
+# A worker takes no answer after this time (seconds, from PROTOCOL).
+ANSWER_S = 4.0
+# A shorter lease would end between two requests to the state service that get no answer.
+LEAST_S = 2.0
+
 # Stands for "no limit": more than any fleet has, and still a number that records can carry.
 UNLIMITED = 1e9
 
@@ -154,9 +159,16 @@
         A holder that is cut off must be replaced before its workers' leases run out, and a
         cancellation it cannot see must still be honoured: lease + worker lease + a worker's save
         and a margin stay below `cancel_s`. Outages that last longer are outlived by promises.
+
+        As a sum, from the moment a user is told: a holder that does not know acts at most one
+        length longer (by its lease, or by a promise given before); a launch of then gets no answer
+        for `ANSWER_S`; and its worker was answered until then, and has its lease from there on.
+        Each by clocks that differ by `drift`.
         """
         workers = self.params.workers
-        return min(0.65 * workers.lease_s, 0.72 * (workers.cancel_s - workers.lease_s))
+        left = workers.cancel_s - ANSWER_S
+        fits = left / (1 + self.drift) - workers.lease_s
+        return min(0.65 * workers.lease_s, 0.72 * (workers.cancel_s - workers.lease_s), fits)
 
 
 def read(path: str) -> bytes:
@@ -181,6 +193,11 @@
     workers = settings.params.workers
     if workers.cancel_s <= workers.lease_s:
         raise SettingsError(f"{path}: `$.cluster.workers.cancel_s` must exceed `lease_s`")
+    if settings.lease_s < LEAST_S:
+        raise SettingsError(
+            f"{path}: `$.cluster.workers`: no controller's lease of {LEAST_S:g} s fits into "
+            f"`cancel_s` less `lease_s`: {max(0.0, settings.lease_s):.1f} s are left for it"
+        )
     if workers.report_s >= workers.lease_s:
         raise SettingsError(f"{path}: `$.cluster.workers.report_s` must be below `lease_s`")
     for team in settings.params.teams:
--- a/sagecove/coordination/backlog.py
+++ b/sagecove/coordination/backlog.py
@@ -128,7 +128,7 @@
         """Nothing is to be done for an active job until something happens to it: all of it that is
         this controller's is on machines and meant to be. Most active jobs are; no pass looks at
         them again before they are stirred."""
-        if job.unclaimed or job.reserved or job.stuck_at or job.fresh:
+        if job.withheld or job.unclaimed or job.reserved or job.stuck_at or job.fresh:
             return False
         if job.committing or job.releasing or job.limbo or job.claiming is not None:
             return False
--- /dev/null
+++ b/sagecove/coordination/cancels.py
@@ -0,0 +1,99 @@
+"""Cancellations that users were told of here, and those that peers tell of.
+
+A controller that the state service refuses may act on by its peers' promises, and cannot read what
+was cancelled meanwhile. Whoever promises therefore names what it has told users, or may tell them
+from memory: the one who counts on the promise has read all of it, or has stopped those jobs first.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Protocol
+
+from sagecove.coordination.model import JobRun, Placement
+from sagecove.storage.mirror import Mirror
+
+log = logging.getLogger("sagecove.cancels")
+
+# Names of jobs that are remembered, and that one message carries: within a body of 64 KiB.
+KEPT = 300
+
+
+class Live(Protocol):
+    """What is asked of the owner: its time, the jobs it takes for live, what it has read."""
+
+    now: float
+    jobs: dict[str, JobRun]
+    mirror: Mirror
+
+
+class Cancels:
+    """`halt(placement, grace, why)` stops a task."""
+
+    def __init__(self, owner: Live, halt: Callable[[Placement, float, str], None]) -> None:
+        self.owner = owner
+        self.halt = halt
+        # Cancellations told here or that may be, each with a revision by which it was durable, in
+        # the order in which this controller learned of them; and the highest of those that are not
+        # among them: of an earlier process (what was there when the mirror was loaded), of points
+        # of sweeps, or dropped.
+        self.told: dict[str, int] = {}
+        self.floor = 0
+        # Jobs that peers say are cancelled, and when they did; see `stop`.
+        self.withheld: dict[str, float] = {}
+
+    # -- who has told ---------------------------------------------------------------------------
+
+    def tell(self, job_id: str, revision: int) -> None:
+        """A cancellation is durable, and a user may be told of it, however it was learned of: with
+        the answer to this controller's own transaction or by reading what became of another's, one
+        without an answer included."""
+        if job_id in self.told:
+            return
+        self.told[job_id] = revision
+        if len(self.told) > KEPT:
+            oldest = next(iter(self.told))
+            self.unnamed(self.told.pop(oldest))
+
+    def unnamed(self, revision: int) -> None:
+        """What was cancelled up to a revision is not named: only who has read it knows of it."""
+        self.floor = max(self.floor, revision)
+
+    @property
+    def last(self) -> int:
+        """By this revision all that was told here was durable."""
+        return max(self.floor, max(self.told.values(), default=0))
+
+    def since(self, applied: int) -> list[str]:
+        """What is named that somebody who has read up to a revision may not know."""
+        return [job_id for job_id, revision in self.told.items() if revision > applied]
+
+    # -- who is told ----------------------------------------------------------------------------
+
+    def stop(self, job_ids: list[str]) -> None:
+        """Peers say that these jobs are cancelled: their tasks stop, and none is started. That is
+        no record: users are told nothing by it and no claim is given back, until the state service
+        answers, which has the last word."""
+        for job_id in job_ids:
+            job = self.owner.jobs.get(job_id)
+            if job is None or job.home is not None:
+                continue
+            if not job.withheld:
+                log.info("cancelled elsewhere job=%s tasks=%d", job_id, len(job.placed))
+            job.withheld = True
+            self.withheld[job_id] = self.owner.now
+            for placement in list(job.placed.values()):
+                self.halt(placement, 0.0, "cancelled elsewhere")
+
+    def read(self, begun: float) -> None:
+        """All changes of before `begun` have been read: what was said by then has taken effect, or
+        is not so."""
+        for job_id, said in list(self.withheld.items()):
+            if said >= begun:
+                continue
+            del self.withheld[job_id]
+            job = self.owner.jobs.get(job_id)
+            if job is not None and job.withheld:
+                log.warning("not cancelled after all job=%s", job_id)
+                job.withheld = False
--- a/sagecove/coordination/claims/competing.py
+++ b/sagecove/coordination/claims/competing.py
@@ -133,7 +133,7 @@
             return
         if self.open_claims >= BATCH and job.home is None:
             return
-        if job.committing or now < job.claim_after or now < job.hold_until:
+        if job.withheld or job.committing or now < max(job.claim_after, job.hold_until):
             return
         bits = job.unclaimed
         if not bits or (job.whole and bits != job.every & ~job.fin):
--- a/sagecove/coordination/leadership.py
+++ b/sagecove/coordination/leadership.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from sagecove.coordination.model import Shard
 from sagecove.protocol import state as wire
 from sagecove.protocol.peers import Promise
@@ -58,33 +60,43 @@
         # Our own promises: no shard taken by lapse is acted for before. A process that has just
         # started does not know what its predecessor promised.
         self.given_until = owner.now + self.length
-        # Revision of the last cancellation let through here; unknown after a start, so what the
-        # mirror held when it was loaded counts.
-        self.cancels = 0
 
     # -- promises in an outage --------------------------------------------------------------------
 
-    def promise(self) -> Promise:
-        """Answer a peer's hint: promise only while refused ourselves, so that a peer refused alone
-        is replaced in time."""
+    def promise(self, node: str, applied: int) -> Promise:
+        """Answer the hint of a peer that has read up to the revision `applied`: what has been
+        cancelled since, as far as users were told of it here, and a promise only while refused
+        ourselves, so that a peer refused alone is replaced in time."""
         owner = self.owner
+        cancels = owner.cancels
+        if node not in owner.settings.nodes or not owner.mirror.loaded:
+            return Promise()
+        known = Promise(0.0, cancels.last, cancels.floor, cancels.since(applied))
         refused = (
             owner.sync.sync_failed_at > owner.sync.synced_at
             and owner.now - owner.sync.synced_at > 0.5
         )
-        if not owner.mirror.loaded or not refused:
-            return Promise()
+        if not refused:
+            return known
         self.given_until = max(self.given_until, owner.now + self.length)
-        return Promise(self.length, self.cancels)
+        return msgspec.structs.replace(known, for_s=self.length)
 
     def promised(self, node: str, sent: float, promise: Promise) -> None:
         """A peer has answered a hint sent at `sent`. Promises extend authority that has not ended;
         they never bring it back: by then somebody may have taken over."""
         owner = self.owner
-        if promise.for_s <= 0 or promise.cancels > owner.mirror.applied:
+        # First what it names is stopped: then this controller acts for nothing that a user was told
+        # to be cancelled before the promise was given.
+        owner.cancels.stop(promise.cancelled)
+        # One of a build that names nothing.
+        unnamed = promise.cancels if promise.floor is None else promise.floor
+        if promise.for_s <= 0 or unnamed > owner.mirror.applied:
             self.promises.pop(node, None)
             return
-        self.promises[node] = sent + promise.for_s * (1 - owner.settings.drift)
+        # However much it promises: that a cancellation which it tells later is covered rests on
+        # this controller's own length.
+        length = min(promise.for_s, self.length)
+        self.promises[node] = sent + length * (1 - owner.settings.drift)
         if all(peer.node in self.promises for peer in owner.settings.peers) and self.acting(
             owner.now
         ):
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -96,6 +96,7 @@
         "unclaimed",
         "wait_told_at",
         "whole",
+        "withheld",
         "within",
     )
 
@@ -107,12 +108,12 @@
         self.priority = PRIORITIES[self.spec.priority]
         kind = self.spec.kind
         # Plain attributes: a pass reads them of every job.
-        self.array = kind == ARRAY  # independent tasks
-        self.gang = kind == GANG  # all tasks run together or none does
-        self.service = kind == SERVICE  # runs until cancelled
+        self.array, self.gang, self.service = kind == ARRAY, kind == GANG, kind == SERVICE
         # One claim for all tasks, so that rules over the job's tasks are decided in one place.
         self.whole = self.gang or self.spec.one_zone or self.spec.spread
         self.within = False
+        # Peers say that it is cancelled, see `Cancels`.
+        self.withheld = False
         # Types of machines that a service stays off while others suit it, see `Owner.settle`.
         self.off: frozenset[str] = frozenset()
         self.lacking_since: float | None = None
@@ -193,7 +194,9 @@
         return self.claims.get(shard, 0) & self.unfinished
 
     def placeable(self, shard: str) -> int:
-        """Tasks held by a shard that are provably nowhere."""
+        """Tasks held by a shard that are provably nowhere and may be started."""
+        if self.withheld:
+            return 0
         if self.whole and self.limbo.get(shard):
             return 0
         bits = self.claimed(shard) & ~self.placed_bits & ~self.releasing
@@ -256,7 +259,7 @@
     open_calls: int = 0
     # A direct launch got no answer under this token: it may be executed until a higher is seen.
     doubt_token: int = -1
-    reaping: bool = False
+    doubt_at: float = 0.0
     # It takes room in the books, see `Ledger`; and waits for an image its machine did not have.
     counted: bool = False
     fetching: bool = False
@@ -345,11 +348,8 @@
         kind = self.kind
         if kind is None:
             return 0.0, 0.0, 0.0
-        return (
-            kind.cpus - self.used[0],
-            kind.gpus - self.used[1],
-            kind.memory_gb - self.used[2],
-        )
+        cpus, gpus, memory_gb = self.used
+        return kind.cpus - cpus, kind.gpus - gpus, kind.memory_gb - memory_gb
 
     def take(self, spec: Job, sign: float) -> None:
         """Count a task's room in (1) or out (-1)."""
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -12,6 +12,7 @@
 
 from sagecove.config import Settings
 from sagecove.coordination.backlog import Backlog
+from sagecove.coordination.cancels import Cancels
 from sagecove.coordination.claims.passes import Claims
 from sagecove.coordination.effects import Answered, Call, Command, Effect
 from sagecove.coordination.ends import Ends
@@ -39,7 +40,6 @@
 from sagecove.coordination.workers import Workers
 from sagecove.protocol import state as wire
 from sagecove.protocol.cloud import MachineType
-from sagecove.protocol.users import CANCELLED
 from sagecove.storage import records as r
 from sagecove.storage.mirror import Event, Item, Mirror
 from sagecove.storage.store import Outcome, Result, Store
@@ -119,6 +119,7 @@
         self.leadership = Leadership(self)
         self.failures = Failures(self)
         self.workers = Workers(self)
+        self.cancels = Cancels(self, self.workers.halt)
         self.inventory = Inventory(self, self.ledger, self.workers, self.shards)
         self.calls = Calls(self, self.ledger, self.limits, self.backlog, self.shards, self.sync)
         self.upkeep = Upkeep(
@@ -208,7 +209,7 @@
             self.sync.watch(now)
         self.leadership.tick(now)
         self.workers.tick(now)
-        self.workers.raise_tokens()
+        self.workers.doubts.tick(now)
         self.provision.tick(now)
         self.upkeep.return_idle(now)
         self.calls.tick(now)
@@ -280,9 +281,8 @@
                     if key.startswith(r.LIVE):
                         self.apply(Event(key, value, result.revision))
                     elif isinstance(value, r.OverRecord):
-                        if value.state == CANCELLED:
-                            self.leadership.cancels = max(self.leadership.cancels, result.revision)
-                        self.users.final(key[len(r.OVER) :], value.state, value.tasks)
+                        job_id = key[len(r.OVER) :]
+                        self.users.final(job_id, value.state, value.tasks, result.revision)
             done(result)
 
         self.store.commit(conditions, changes, committed, urgent=urgent)
--- a/sagecove/coordination/peers.py
+++ b/sagecove/coordination/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import deque
 from collections.abc import Iterator, Sequence
 from typing import TYPE_CHECKING, NamedTuple
@@ -25,6 +26,7 @@
 if TYPE_CHECKING:
     from sagecove.coordination.owner import Owner
 
+log = logging.getLogger("sagecove.peers")
 
 # Names that one hint carries of machines and of running jobs, and of all else: within a body of
 # 64 KiB. And the most parts that are kept of what a peer says.
@@ -82,6 +84,7 @@
         hint = Hint(
             self.owner.settings.node,
             self.owner.now - self.owner.sync.synced_at < 2.0,
+            self.owner.mirror.applied,
             dict(list(running.items())[self.part :: parts]),
             dict(list(hungry.items())[:FEW]),
             set(known[self.part :: parts]),
@@ -132,7 +135,8 @@
         def done(status: int | None, body: bytes) -> None:
             try:
                 answer = read_promise(body) if status == 200 else None
-            except (msgspec.MsgspecError, UnicodeDecodeError):
+            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+                log.info("unreadable promise node=%s why=%s", node, error)
                 answer = None
             if answer is not None:
                 self.owner.limits.wants.heard(self.owner.now, node)
@@ -181,8 +185,10 @@
                 if (machine := self.owner.machines.get(name)) is not None:
                     machine.elsewhere_at = self.owner.now
             if any(job_id in self.owner.jobs for job_id in hint.cancelled):
+                self.owner.cancels.stop(hint.cancelled)
                 self.owner.sync.want_sync()
-        self.owner.effects.append(Reply(ask.exchange, 200, self.owner.leadership.promise()))
+        promise = self.owner.leadership.promise(hint.node, hint.applied)
+        self.owner.effects.append(Reply(ask.exchange, 200, promise))
 
     def running_elsewhere(self, job_id: str) -> int:
         """Running tasks of a job on other controllers' machines, for display."""
--- a/sagecove/coordination/sync.py
+++ b/sagecove/coordination/sync.py
@@ -72,7 +72,7 @@
         self.owner.mirror.loaded = True
         self._advance(self.page_ledger, self.page_begun)
         if first:
-            self.owner.leadership.cancels = self.page_ledger
+            self.owner.cancels.unnamed(self.page_ledger)
             log.info("loaded keys=%d ledger=%d", len(self.owner.mirror.items), self.page_ledger)
 
     def _noted(self, key: str, value: object) -> None:
@@ -159,6 +159,7 @@
     def _advance(self, ledger: int, begun: float) -> None:
         self.owner.mirror.advance(ledger)
         self.synced_at = max(self.synced_at, begun)
+        self.owner.cancels.read(begun)
         self.owner.leadership.check_holders()
         self.owner.dirty = True
 
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -63,8 +63,11 @@
         retry = self.owner.requests.retry_hint()
         self.later(exchange, "the state service does not answer", retry)
 
-    def final(self, job_id: str, state: str, tasks: int) -> None:
-        """Remember a final state."""
+    def final(self, job_id: str, state: str, tasks: int, revision: int) -> None:
+        """Remember a final state, durable by a revision. All that users are told of cancelled jobs
+        goes by here."""
+        if state == u.CANCELLED:
+            self.owner.cancels.tell(job_id, revision)
         self.finals[job_id] = (state, tasks)
         self.finals.move_to_end(job_id)
         if len(self.finals) > FINALS_KEPT:
@@ -316,7 +319,7 @@
                 except msgspec.ValidationError:
                     status = None
                 else:
-                    self.final(job_id, over.state, over.tasks)
+                    self.final(job_id, over.state, over.tasks, pair.version)
             for kind, exchange in waiters:
                 if job_id in self.finals:
                     self._tell_final(kind, job_id, exchange)
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -15,7 +15,9 @@
 
 import msgspec
 
+from sagecove.config import ANSWER_S
 from sagecove.coordination import images
+from sagecove.coordination.doubts import Doubts
 from sagecove.coordination.effects import Reply
 from sagecove.coordination.model import SENT, Machine, Placement
 from sagecove.coordination.reach import Reach
@@ -54,7 +56,7 @@
         # After the last answer, a worker's lease has run out for sure (half a report for clocks'
         # steps and the way of the packets).
         self.lease_over = pace.lease_s * drift + pace.report_s / 2
-        self.call_s = 4.0
+        self.call_s = ANSWER_S
         # Silence that is taken for a dead machine. A worker that gets no answer from its holder
         # turns to the next controller after a report's time, 4 s, and a pause of 1 s; the way
         # takes a moment, too.
@@ -71,8 +73,8 @@
         self.look_at: dict[str, float] = {}
         # Zones that the way to was at fault lately, and when.
         self.cut_at: dict[str, float] = {}
-        # Machines with lost launches that may still arrive.
-        self.doubted: dict[str, Machine] = {}
+        # Lost launches that may still arrive.
+        self.doubts = Doubts(owner, self._fence, lambda: owner.sync.connected(), self.lease_over)
 
     # -- reports --------------------------------------------------------------------------------
 
@@ -362,10 +364,7 @@
             seen.add(hand.task)
             if placement.state != hand.state:
                 self._observe(machine, placement, hand)
-        if machine.name in self.doubted:
-            for placement in tasks.values():
-                if placement.doubt_token >= 0 and report.token > placement.doubt_token:
-                    placement.doubt_token = -1
+        self.doubts.seen(machine, report.token)
         missing = [task for task in tasks if task not in seen] if len(seen) < len(tasks) else []
         for task in missing:
             placement = tasks[task]
@@ -419,6 +418,8 @@
             if len(job.placed) > 1:
                 job.failing = True
             job.attempt = max(job.attempt, hand.attempt)
+        if job.withheld:
+            self.halt(placement, 0.0, "cancelled elsewhere")
         return placement
 
     def _observe(self, machine: Machine, placement: Placement, hand: w.Hand) -> None:
@@ -673,8 +674,7 @@
                 placement.open_calls -= 1
                 if not sure:
                     # It may be executed late, until the worker has seen a higher token.
-                    placement.doubt_token = max(placement.doubt_token, token)
-                    self.doubted[machine.name] = machine
+                    self.doubts.note(machine, placement, token)
             if status not in (200, 409) or owner.machines.get(machine.name) is not machine:
                 return
             report = decode(body, w.Report)
@@ -690,25 +690,6 @@
 
         return done
 
-    def raise_tokens(self) -> None:
-        """Where a lost direct launch stands in the way, make its token stale: write the record."""
-        owner = self.owner
-        for name, machine in list(self.doubted.items()):
-            if owner.machines.get(name) is not machine or not any(
-                p.doubt_token >= 0 for p in machine.tasks.values()
-            ):
-                del self.doubted[name]
-                continue
-            shard = owner.held.get(machine.record.shard)
-            if shard is None:
-                continue
-            token = max(shard.term, machine.stamp)
-            if any(
-                p.doubt_token >= token and (p.state == w.EXITED or p.halt is not None)
-                for p in machine.tasks.values()
-            ):
-                self._fence(machine)
-
     def halt(self, placement: Placement, grace: float, reason: str) -> None:
         """Stop a task; a second, stricter call shortens its grace."""
         if placement.state == w.EXITED:
--- a/sagecove/lab/models.py
+++ b/sagecove/lab/models.py
@@ -57,7 +57,7 @@
         self.keys: dict[str, tuple[Any, int, int | None]] = {}
         self.changes: list[tuple[int, str, Any]] = []
         self.leases: dict[int, tuple[float, float]] = {}
-        self.watches: list[tuple[str, int, float, Answer]] = []
+        self.watches: list[tuple[str, str, int, float, Answer]] = []
         self.down = False
         self.refused: set[str] = set()
         self.forgets_before = 0
@@ -80,9 +80,11 @@
                 if now > until:
                     self.end(lease)
         for watch in list(self.watches):
-            prefix, since, until, answer = watch
+            node, prefix, since, until, answer = watch
             events = self.events(prefix, since)
-            if not self.down and (events or now >= until):
+            # Open ones wait through an outage, and of one that is refused alone as well.
+            waits = self.down or node in self.refused
+            if not waits and (events or now >= until):
                 self.watches.remove(watch)
                 answer(200, self.dump({"ledger": self.ledger, "events": events}))
 
@@ -163,7 +165,7 @@
                 answer(410, b"{}")
             else:
                 until = self.world.now + int(args["blockMs"]) / 1000
-                self.watches.append((args["prefix"], int(args["from"]), until, answer))
+                self.watches.append((node, args["prefix"], int(args["from"]), until, answer))
                 self.tick()
             return
         if self.down or node in self.refused:
--- a/sagecove/protocol/peers.py
+++ b/sagecove/protocol/peers.py
@@ -55,6 +55,8 @@
     node: str
     # The state service answers this controller.
     connected: bool = True
+    # The revision up to which it has read all changes.
+    applied: int = 0
     # Running tasks of jobs claimed here, for display.
     running: dict[str, int] = {}
     # Jobs claimed here that lack room: job id to (shard, tasks).
@@ -82,13 +84,20 @@
     warm: list[Warm] = []
 
 
-class Promise(msgspec.Struct):
+class Promise(msgspec.Struct, omit_defaults=True):
     """The answer to a hint from a controller that is itself refused by the state service: it will
-    act for no shard taken by lapse until `for_s` from now, and `cancels` is the revision of the
-    last cancellation it let through. The one message between controllers that a rule rests on."""
+    act for no shard taken by lapse until `for_s` from now. It has told users of no cancellation
+    later than the revision `cancels`, and of none later than `floor` that is not named in
+    `cancelled` or was read by the asker (`Hint.applied`). The one message between controllers that
+    a rule rests on; without a promise (`for_s` 0) what it names stands all the same.
+
+    A build that knows only `cancels` counts the promise if it has read as far; a promise of such a
+    build has no `floor`."""
 
     for_s: float = 0.0
     cancels: int = 0
+    floor: int | None = None
+    cancelled: list[str] = []
 
 
 read_promise = msgspec.json.Decoder(Promise).decode
--- a/sagecove/sweeps/claims.py
+++ b/sagecove/sweeps/claims.py
@@ -214,7 +214,7 @@
         def done(result: Result) -> None:
             if result.outcome is Outcome.DONE:
                 # Promises in an outage rest on who knows of which cancellation.
-                owner.leadership.cancels = max(owner.leadership.cancels, result.revision)
+                owner.cancels.unnamed(result.revision)
                 owner.peers.hint_cancel(job_id)
                 log.info("cancelled job=%s", job_id)
                 users.reply(exchange, 200, Status(job_id, CANCELLED))
--- a/sagecove/sweeps/routes.py
+++ b/sagecove/sweeps/routes.py
@@ -460,6 +460,8 @@
                 except msgspec.ValidationError:
                     status = None
                 else:
+                    # Whoever reads of a cancellation may tell a user of it.
+                    self.owner.cancels.unnamed(pair.version)
                     self.ended.put(sweep_id, over)
                     then(over)
                     return
@@ -517,7 +519,7 @@
 
         def done(result: Result) -> None:
             if result.outcome is Outcome.DONE:
-                owner.leadership.cancels = max(owner.leadership.cancels, result.revision)
+                owner.cancels.unnamed(result.revision)
                 for job_id in running[:3]:
                     # A few are enough for the peers to look.
                     owner.peers.hint_cancel(job_id)
@@ -560,6 +562,7 @@
                 except msgspec.ValidationError:
                     log.info("unreadable block key=%s", key)
                 else:
+                    self.owner.cancels.unnamed(pair.version)
                     self.ended_blocks.put(key, record)
             if record is None:
                 self.users.unanswered(exchange)
@@ -588,6 +591,9 @@
             )
 
     def _final(self, kind: str, job_id: str, state: str, exchange: Any) -> None:
+        if state == CANCELLED:
+            # By what the mirror has, or by what was read and noted then.
+            self.owner.cancels.unnamed(self.owner.mirror.applied)
         known = Status(job_id, state, 1 if state == DONE else 0, 0)
         self.users.reply(exchange, 200, known if kind == "status" else Status(job_id, state))
 
