Stories of the other meetings, with and without late copies; gangs of the stand-ins run together

A gang of the stand-ins began and ended task by task: with commands held up one was done before another had begun, and the machine of troubles took it for not_done.

--- a/sagecove/lab/deployment.py
+++ b/sagecove/lab/deployment.py
@@ -12,6 +12,7 @@
 REPORT_S = 2.0
 LEASE_S = 12.0
 CANCEL_S = 37.0
+GANG_WAIT_S = 30.0
 
 TYPES: list[dict[str, Any]] = [
     {
@@ -70,7 +71,7 @@
             "workers": {
                 "report_s": REPORT_S,
                 "lease_s": LEASE_S,
-                "gang_wait_s": 30.0,
+                "gang_wait_s": GANG_WAIT_S,
                 "gang_peer_s": 5.0,
                 "cancel_s": CANCEL_S,
             },
--- a/sagecove/lab/models.py
+++ b/sagecove/lab/models.py
@@ -11,7 +11,7 @@
 from random import Random
 from typing import Any, Protocol
 
-from sagecove.lab.deployment import LEASE_S, REPORT_S, TYPES
+from sagecove.lab.deployment import GANG_WAIT_S, LEASE_S, REPORT_S, TYPES
 
 Answer = Callable[[int | None, bytes], None]
 
@@ -451,16 +451,49 @@
             if spec is None:
                 mine["standing"], mine["cause"] = "exited", "unknown"
                 return
-            mine["standing"], mine["spec"] = "running", spec
+            gang = spec["shape"] == "ensemble"
+            mine["standing"], mine["spec"] = "waiting" if gang else "running", spec
             self.world.started(self, task)
             if self.fails or task.split("/")[0] in self.world.broken:
                 self.world.later(0.1, lambda: self.exit(task, attempt, "error"))
+            elif gang:
+                self.world.later(GANG_WAIT_S, lambda: self.incomplete(task, attempt))
+                self.gather(task.split("/")[0], attempt, spec)
             elif spec["shape"] != "service":
                 run_s = spec["reckonS"] if self.run_s is None else self.run_s
                 self.world.later(run_s / self.pace, lambda: self.exit(task, attempt, "done"))
 
         self.world.describe(task.split("/")[0], described)
 
+    def gather(self, job: str, attempt: int, spec: dict[str, Any]) -> None:
+        """A gang starts together once the last of it is here, and completes together."""
+        names = {f"{job}/{n}" for n in range(spec["hands"])}
+
+        def members(standing: str) -> "list[tuple[FakeWorker, str]]":
+            return [
+                (worker, task)
+                for worker in self.world.workers.values()
+                for task, v in worker.tasks.items()
+                if task in names and v["try"] == attempt and v["standing"] == standing
+            ]
+
+        def over() -> None:
+            running = members("running")
+            for worker, task in running:
+                worker.exit(task, attempt, "done" if len(running) == len(names) else "mates_gone")
+
+        if len(gathered := members("waiting")) == len(names):
+            for worker, task in gathered:
+                worker.tasks[task]["standing"] = "running"
+            run_s = spec["reckonS"] if self.run_s is None else self.run_s
+            self.world.later(run_s / self.pace, over)
+
+    def incomplete(self, task: str, attempt: int) -> None:
+        """A gang task has waited for the others for too long."""
+        have = self.tasks.get(task)
+        if have and have["try"] == attempt and have["standing"] == "waiting":
+            self.exit(task, attempt, "incomplete")
+
     def exit(self, task: str, attempt: int, why: str) -> None:
         have = self.tasks.get(task)
         if have and have["try"] == attempt and have["standing"] != "exited":
--- /dev/null
+++ b/tests/test_meetings.py
@@ -0,0 +1,325 @@
+"""Two troubles at once, meeting by meeting (docs/meetings.md). World's rules are checked all along;
+each story is played with and without copies of reports that come again much later."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from sagecove.lab.deployment import CANCEL_S, LEASE_S, REPORT_S, job
+from sagecove.lab.models import FakeWorker
+from sagecove.lab.world import World, standing
+from tests.test_known import persist
+
+LONG, DOOMED = "run-000001", "run-000002"
+COPIES = {"no copies": [], "copies": [1.0, 5.0, 30.0]}
+
+
+def world(copies: list[float], nodes: int = 3) -> World:
+    """Each machine with tasks of a service that stays and of one that is to be cancelled."""
+    w = World(nodes=nodes)
+    w.cloud.capacity = {"small": 3 * nodes, "gpu": 0}
+    for i in range(3 * nodes):
+        w.cloud.start("small", "ab"[i % 2], False)
+    w.run(3)
+    for name in w.workers:
+        w.copies[name] = copies
+    for n in (1, 2):
+        spec = job(n, shape="service", hands=2 * nodes, vcpus=1.0, memoryGb=2.0, rank="urgent")
+        w.submit("n0", spec)
+    w.until(lambda: w.running(LONG) == w.running(DOOMED) == 2 * nodes, 90)
+    w.run(3)
+    w.poll_all()
+    return w
+
+
+def leader(w: World, job_id: str = DOOMED) -> str:
+    return max(w.owners, key=lambda n: len(w.owners[n].jobs[job_id].placed))
+
+
+def others(w: World, node: str) -> list[str]:
+    return [n for n in sorted(w.owners) if n != node]
+
+
+def mine(w: World, node: str) -> list[FakeWorker]:
+    """The machines of a controller's own shard."""
+    shards = {m.name for m in w.owners[node].machines.values() if m.record.shard == node}
+    return [worker for name, worker in w.workers.items() if name in shards]
+
+
+def settle(w: World, seconds: float = 3 * LEASE_S) -> None:
+    """All troubles are over: all is known, what is wanted runs, what was cancelled does not."""
+    w.cut_links.clear()
+    w.unreached.clear()
+    w.state.refused.clear()
+    w.state.slow_s = 0.0
+    w.state.hook = None
+    w.state.outage(False)
+    for worker in w.workers.values():
+        worker.cut = worker.cut_direct = False
+    for n in range(w.nodes):
+        if f"n{n}" not in w.owners:
+            w.boot_node(n)
+    w.calm_at = w.now
+    w.run(seconds)
+    w.until(lambda: w.running(LONG) == w.specs[LONG]["hands"], 4 * LEASE_S)
+    if w.told[DOOMED] == "aborted":
+        assert w.running(DOOMED) == 0
+    acting = [s for o in w.owners.values() for s in o.shards.acting_shards(w.now)]
+    assert sorted(acting) == sorted(w.owners)
+
+
+# -- alone with workers and users ----------------------------------------------------------------
+
+
+@pytest.mark.parametrize("copies", COPIES)
+@pytest.mark.parametrize("nodes", [3, 5])
+@pytest.mark.parametrize("refusing", [False, True])
+@pytest.mark.parametrize("cancel_at", [0.3, 5.0, 12.0])
+def test_jobs_are_cancelled_through_another_while_one_is_alone_with_workers_and_users(
+    cancel_at: float, refusing: bool, nodes: int, copies: str
+) -> None:
+    w = world(COPIES[copies], nodes)
+    lead = leader(w)
+    w.part([lead], others(w, lead))
+    if refusing:
+        w.state.refused.add(lead)
+    else:
+        w.cut_links.add((lead, "state"))
+    w.run(cancel_at)
+    persist_at(w, others(w, lead)[0])
+    for _ in range(int(1.2 * CANCEL_S / 4)):
+        w.run(4)
+        # What it tells is no older than what the other told, or nothing.
+        assert standing(w, lead, DOOMED) in ("503", "aborted")
+    assert w.running(DOOMED) == 0 and w.running(LONG) == 2 * nodes
+    settle(w)
+
+
+def persist_at(w: World, node: str, name: str = DOOMED) -> None:
+    begun = w.now
+    while w.user(node, "POST", f"/api/jobs/{name}/cancel")[0] != 200:
+        assert w.now - begun < 75
+        w.run(0.5)
+
+
+# -- a slow state service ------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("copies", COPIES)
+@pytest.mark.parametrize("slow_s", [0.2, 1.0, 2.0, 5.0])
+@pytest.mark.parametrize("then_down", [False, True])
+def test_users_cancel_and_ask_while_the_state_service_is_slow_and_then_refuses(
+    slow_s: float, then_down: bool, copies: str
+) -> None:
+    w = world(COPIES[copies])
+    lead = leader(w)
+    w.state.slow_s = slow_s
+    for node in others(w, lead):
+        w.ask(node, "POST", f"/api/jobs/{DOOMED}/cancel", b"", lambda status, body: None)
+    w.run(0.5)
+    for node in sorted(w.owners):
+        w.user(node, "GET", f"/api/jobs/{DOOMED}")
+    w.state.refused.add(lead)
+    for node in others(w, lead):
+        w.user(node, "POST", f"/api/jobs/{DOOMED}/cancel")
+    if then_down:
+        w.state.outage(True)
+    w.run(1.3 * CANCEL_S)
+    settle(w)
+    persist_at(w, lead)
+
+
+@pytest.mark.parametrize("slow_s", [0.2, 1.0, 2.0])
+def test_leases_and_reads_are_believed_no_longer_than_they_last(slow_s: float) -> None:
+    # Dated from when its renewal was sent: the answer may have taken all this time.
+    w = world([])
+    w.state.slow_s = slow_s
+    for _ in range(100):
+        w.state.commit({"if": [], "then": [{"put": "s/note", "v": {}}]})
+        changed, at = w.state.ledger, w.now
+        w.run(0.2)
+        for owner in w.owners.values():
+            # A read counts from when it was sent, too: all of before is in it.
+            assert owner.sync.synced_at <= at or owner.mirror.applied >= changed
+            lease = owner.leadership.lease
+            if lease is not None and w.now < owner.leadership.until:
+                assert owner.leadership.until <= w.state.leases[lease][0]
+
+
+# -- commands that are held up -------------------------------------------------------------------
+
+
+def cancelled(w: World, lead: str) -> None:
+    persist_at(w, others(w, lead)[0])
+
+
+def holder_restarts(w: World, lead: str) -> None:
+    w.kill(lead)
+    w.run(0.3)
+    w.boot_node(int(lead[1:]))
+
+
+def holder_ends(w: World, lead: str) -> None:
+    w.kill(lead)
+
+
+def sessions_end(w: World, lead: str) -> None:
+    for worker in mine(w, lead):
+        worker.cut = True
+    w.run(1.2 * LEASE_S)
+    for worker in mine(w, lead):
+        worker.cut = False
+
+
+def nobody_is_served(w: World, lead: str) -> None:
+    cancelled(w, lead)
+    w.state.outage(True)
+
+
+@pytest.mark.parametrize("copies", COPIES)
+@pytest.mark.parametrize("held_s", [1.0, 6.0, 20.0, 1.2 * CANCEL_S])
+@pytest.mark.parametrize(
+    "event", [cancelled, holder_restarts, holder_ends, sessions_end, nobody_is_served]
+)
+def test_commands_are_held_up_and_the_machine_goes_on(
+    event: Callable[[World, str], None], held_s: float, copies: str
+) -> None:
+    w = world(COPIES[copies])
+    lead = leader(w)
+    held = mine(w, lead)
+    for worker in held:
+        worker.cut_direct = True
+    # Launches for what comes, halts for what is cancelled, reaps for what is done.
+    w.submit(lead, job(3, hands=3, vcpus=0.5, memoryGb=1.0))
+    w.run(0.5)
+    event(w, lead)
+    w.run(held_s)
+    for worker in held:
+        worker.cut_direct = False
+        late, worker.held = worker.held, []
+        for raw in late:
+            if not worker.dead:
+                worker.commands(raw)
+    w.run(3)
+    settle(w)
+    w.until(lambda: standing(w, "n0", "run-000003") == "done", 75)
+    assert len({t for _, t, _ in w.starts if t.startswith("run-000003")}) == 3
+
+
+# -- all end, some return ------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("copies", COPIES)
+@pytest.mark.parametrize("apart_s", [0.0, 0.05, 0.4, 3.0, 8.5])
+@pytest.mark.parametrize("back_s", [0.05, 0.9, 6.0])
+@pytest.mark.parametrize("lead_back", [True, False])
+def test_all_end_one_returns_and_shards_are_handed_back(
+    lead_back: bool, back_s: float, apart_s: float, copies: str
+) -> None:
+    w = world(COPIES[copies])
+    w.refuses = True
+    lead = leader(w)
+    order = [lead, *others(w, lead)]
+    for node in order:
+        w.kill(node)
+        w.run(apart_s)
+    first = order[0] if lead_back else order[-1]
+    w.run(back_s)
+    w.boot_node(int(first[1:]))
+    w.run(4.0)
+    persist(w, "POST", f"/api/jobs/{DOOMED}/cancel")
+    w.run(4.0)
+    for node in order:
+        if node not in w.owners:
+            w.boot_node(int(node[1:]))
+            w.run(back_s)
+    # In the middle of handing back they end once more.
+    w.run(1.0)
+    w.kill(first)
+    w.run(back_s)
+    settle(w)
+
+
+# -- a leader ends, its machines can't be reached ------------------------------------------------
+
+
+@pytest.mark.parametrize("copies", COPIES)
+@pytest.mark.parametrize("how", ["cut", "deaf", "direct"])
+@pytest.mark.parametrize("seconds", [4.0, 0.9 * LEASE_S, 1.1 * LEASE_S, 3 * LEASE_S])
+def test_a_leader_ends_while_machines_with_long_tasks_are_out_of_reach(
+    seconds: float, how: str, copies: str
+) -> None:
+    w = world(COPIES[copies])
+    lead = leader(w)
+    far = mine(w, lead)[:2]
+    for worker in far:
+        if how == "deaf":
+            w.unreached.add(worker.name)
+        else:
+            worker.cut, worker.cut_direct = how == "cut", True
+    w.run(1.0)
+    w.kill(lead)
+    w.run(seconds)
+    # Room elsewhere for what is provably gone; none begins twice (World.started).
+    w.cloud.capacity["small"] = 12
+    for worker in far:
+        worker.cut = worker.cut_direct = False
+        late, worker.held = worker.held, []
+        for raw in late:
+            if not worker.dead:
+                worker.commands(raw)
+    w.unreached.clear()
+    w.run(2 * REPORT_S)
+    settle(w)
+
+
+# -- jobs of two or three tasks ------------------------------------------------------------------
+
+
+def ends(w: World, lead: str) -> None:
+    w.kill(lead)
+
+
+def stands_still(w: World, lead: str) -> None:
+    w.still[lead] = w.now + 9.0
+
+
+def is_refused(w: World, lead: str) -> None:
+    w.state.refused.add(lead)
+
+
+def writes_go_astray(w: World, lead: str) -> None:
+    w.state.hook = lambda node, body: "late" if w.random.random() < 0.6 else None
+
+
+@pytest.mark.parametrize("copies", COPIES)
+@pytest.mark.parametrize("change", [ends, stands_still, is_refused, writes_go_astray])
+@pytest.mark.parametrize("at", [0.5, 2.5, 4.0, 6.5, 9.5])
+@pytest.mark.parametrize("hands", [2, 3])
+def test_tasks_of_a_small_job_end_far_apart_across_a_change_of_leader(
+    hands: int, at: float, change: Callable[[World, str], None], copies: str
+) -> None:
+    w = world(COPIES[copies])
+    for n, worker in enumerate(w.workers.values()):
+        worker.run_s = 2.0 + 4.0 * (n % 3)
+    spec: dict[str, Any] = {"hands": hands, "vcpus": 0.5, "memoryGb": 1.0}
+    w.submit("n0", job(3, **spec))
+    w.until(lambda: w.running("run-000003") == hands, 30)
+    lead = leader(w, "run-000003")
+    w.run(at)
+    change(w, lead)
+    w.until(lambda: len(w.completed) == hands, 60)
+    # No task whose machine lived on began again.
+    tasks = [t for _, t, _ in w.starts if t.startswith("run-000003")]
+    assert len(tasks) == len(set(tasks)) == hands
+    # Told by whoever is served: at once if the writes go through, soon after a takeover.
+    w.until(
+        lambda: any(standing(w, n, "run-000003") == "done" for n in sorted(w.owners)),
+        75,
+    )
+    settle(w)
+    for node in w.owners:
+        assert standing(w, node, "run-000003") == "done"
+    tasks = [t for _, t, _ in w.starts if t.startswith("run-000003")]
+    assert len(tasks) == hands
--- a/tests/test_trouble_machine.py
+++ b/tests/test_trouble_machine.py
@@ -87,8 +87,32 @@
     def transactions_go_astray(self, verdict: str) -> None:
         self.w.state.hook = lambda node, body: verdict if self.w.random.random() < 0.2 else None
 
+    @rule(number=st.integers(0, 8))
+    def commands_are_held_up(self, number: int) -> None:
+        if (worker := self.worker(number)) is not None:
+            worker.cut_direct = True
+
+    @rule(number=st.integers(0, 8))
+    def a_machine_is_cut_off(self, number: int) -> None:
+        if (worker := self.worker(number)) is not None:
+            worker.cut = True
+
+    @rule(slow_s=st.sampled_from([0.0, 0.5, 2.0]))
+    def the_state_service_is_slow(self, slow_s: float) -> None:
+        self.w.state.slow_s = slow_s
+
+    def go_on(self) -> None:
+        """What was held up arrives, in order."""
+        for worker in self.w.workers.values():
+            worker.cut = worker.cut_direct = False
+            late, worker.held = worker.held, []
+            for raw in late:
+                worker.commands(raw)
+
     @rule()
     def mend(self) -> None:
+        self.go_on()
+        self.w.state.slow_s = 0.0
         self.w.cut_links.clear()
         self.w.state.refused.clear()
         self.w.unreached.clear()
