--- a/bench/troubles.py
+++ b/bench/troubles.py
@@ -1,7 +1,8 @@
 """A long search with the machine of troubles: `python -m bench.troubles FIRST LAST [EXAMPLES]`.
 
 Plays the histories of tests/test_trouble_machine.py with the seeds FIRST to LAST, EXAMPLES of each
-(100), and prints a line for each seed; what breaks a rule is printed as its shortest history found.
+(100), of three controllers with odd seeds and of five with even ones, and prints a line for each
+seed; what breaks a rule is printed as its shortest history found.
 """
 
 import sys
@@ -11,7 +12,7 @@
 from hypothesis import settings as how
 from hypothesis.stateful import run_state_machine_as_test
 
-from tests.test_trouble_machine import Troubled
+from tests.test_trouble_machine import OfFive, Troubled
 
 
 def main(first: int, last: int, examples: int = 100) -> int:
@@ -29,7 +30,8 @@
             phases=(Phase.generate, Phase.shrink),
         )
         try:
-            run_state_machine_as_test(seed(number)(Troubled), settings=told)
+            machine = Troubled if number % 2 else OfFive
+            run_state_machine_as_test(seed(number)(machine), settings=told)
         except Exception as error:
             broken += 1
             print(f"seed {number}: {type(error).__name__}: {error}", *error.__notes__, sep="\n")
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sagecove.lab import deployment, models, rules
 from sagecove.lab.deployment import CANCEL_S, LEASE_S, REPORT_S, job
 from sagecove.lab.models import FakeWorker
 from sagecove.lab.world import World, standing
@@ -96,6 +97,30 @@
     settle(w)
 
 
+@pytest.mark.parametrize("alone", [["n0"], ["n0", "n1"]])
+@pytest.mark.parametrize("seconds", [2.0, 5.0, 8.0, 14.0, 35.0])
+@pytest.mark.parametrize("refusing", [False, True])
+def test_alone_with_workers_at_the_tightest_settings_no_session_is_lost(
+    refusing: bool, seconds: float, alone: list[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for name, value in (("REPORT_S", 1.5), ("LEASE_S", 10.0), ("CANCEL_S", 30.0)):
+        for module in (deployment, models, rules):
+            if hasattr(module, name):
+                monkeypatch.setattr(module, name, value)
+    w = world([])
+    starts = len(w.starts)
+    for name in alone:
+        w.part([name], others(w, name))
+        if refusing:
+            w.state.refused.add(name)
+        else:
+            w.cut_links.add((name, "state"))
+    w.run(seconds)
+    settle(w)
+    assert w.running(LONG) == w.running(DOOMED) == 6 and len(w.starts) == starts
+    assert all(worker.session == 1 for worker in w.workers.values())
+
+
 def persist_at(w: World, node: str, name: str = DOOMED) -> None:
     begun = w.now
     while w.user(node, "POST", f"/api/jobs/{name}/cancel")[0] != 200:
--- a/tests/test_trouble_machine.py
+++ b/tests/test_trouble_machine.py
@@ -22,9 +22,11 @@
 class Troubled(RuleBasedStateMachine):
     """`World` holds all that happens against PROTOCOL's rules, and `forgotten` once it is calm."""
 
+    nodes = 3
+
     def __init__(self) -> None:
         super().__init__()
-        self.w = World(nodes=3, seed=7)
+        self.w = World(nodes=self.nodes, seed=7)
         self.w.refuses = True
         self.w.cloud.capacity = {"small": 9, "gpu": 0}
         self.w.run(2)
@@ -72,7 +74,7 @@
 
     @rule(node=NODES, refusing=st.booleans())
     def alone_with_its_workers(self, node: str, refusing: bool) -> None:
-        self.w.part([node], [n for n in ("n0", "n1", "n2") if n != node])
+        self.w.part([node], [n for n in self.w.inbox if n != node])
         if refusing:
             self.w.state.refused.add(node)
         else:
@@ -142,7 +144,7 @@
     def teardown(self) -> None:
         self.mend()
         self.w.run(10)
-        for number in range(3):
+        for number in range(self.nodes):
             if f"n{number}" not in self.w.owners:
                 self.w.boot_node(number)
         self.w.calm_at = self.w.now
@@ -164,7 +166,13 @@
         self.w.until(lambda: wanted <= self.w.completed, 240)
 
 
-Troubled.TestCase.settings = how(
+class OfFive(Troubled):
+    """Two of five are never disturbed themselves."""
+
+    nodes = 5
+
+
+HOW = how(
     max_examples=40,
     stateful_step_count=18,
     deadline=None,
@@ -173,3 +181,6 @@
     phases=(Phase.generate,),
 )
 TestTroubled = Troubled.TestCase
+TestTroubled.settings = HOW
+TestOfFive = OfFive.TestCase
+TestOfFive.settings = how(HOW, max_examples=20)
