--- a/sagecove/coordination/claims/passes.py
+++ b/sagecove/coordination/claims/passes.py
@@ -84,14 +84,7 @@
         shards = [self.desk.held[s] for s in self.shards.acting_shards(now)]
         if not shards:
             return
-        retries, self.releasing.retries = self.releasing.retries, []
-        for job, shard, claims, bits in retries:
-            if self.desk.held.get(shard.name) is not shard:
-                # Its term is over, so that it can't be executed any more: were the tasks kept
-                # back for it, nobody would ever place them.
-                job.releasing &= ~bits
-            elif self.desk.jobs.get(job.id) is job:
-                self.releasing.write_release(job, shard, claims, bits)
+        self.releasing.repeat()
         self.results.record(now, shards)
         self.results.gangs(now)
         ordered = self._open(shards)
--- a/sagecove/coordination/claims/releasing.py
+++ b/sagecove/coordination/claims/releasing.py
@@ -9,6 +9,8 @@
 from sagecove.storage.records import HOLDER, JOB
 from sagecove.storage.store import Outcome, Result
 
+Doubt = tuple[JobRun, Shard, dict[str, int], int, int, bool]
+
 
 class Releasing:
     """Gives claims back."""
@@ -17,8 +19,9 @@
         self.desk = desk
         self.sync = sync
         self.ground = ground
-        # Releases whose outcome is unknown: job, shard, claims without them, tasks.
-        self.retries: list[tuple[JobRun, Shard, dict[str, int], int]] = []
+        # Releases in doubt: job, shard, claims without them, tasks, the record they were written
+        # on, and if they are to be sent once more.
+        self.doubts: list[Doubt] = []
 
     def release(self, now: float, job: JobRun, shard: Shard) -> None:
         """Give back claims that found no place within a poll (a whole job's only all together)."""
@@ -40,19 +43,49 @@
             return
         self.write_release(job, shard, claims, bits)
 
-    def write_release(self, job: JobRun, shard: Shard, claims: dict[str, int], bits: int) -> None:
+    def repeat(self) -> None:
+        """Settle what is in doubt: by a newer record of the job, by the end of the term, or by
+        writing it once more."""
+        doubts, self.doubts = self.doubts, []
+        for doubt in doubts:
+            job, shard, claims, bits, stamp, again = doubt
+            if self.desk.jobs.get(job.id) is not job:
+                continue
+            if job.stamp != stamp or self.desk.held.get(shard.name) is not shard:
+                # Its record, or its term, is over, so that it can't be executed any more: were the
+                # tasks kept back for it, nobody would ever place them.
+                job.releasing &= ~bits
+                self.desk.dirty = True
+            elif again:
+                self.write_release(job, shard, claims, bits, doubtful=True)
+            else:
+                self.doubts.append(doubt)
+
+    def write_release(
+        self,
+        job: JobRun,
+        shard: Shard,
+        claims: dict[str, int],
+        bits: int,
+        doubtful: bool = False,
+    ) -> None:
+        """`doubtful`: an earlier copy got no answer, and may be executed at any time."""
         stamp = job.stamp
         job.committing = True
 
         def done(result: Result) -> None:
             job.committing = False
             self.desk.dirty = True
-            if result.outcome is Outcome.UNKNOWN and job.stamp == stamp:
-                # It may be executed late: nothing is placed until a repetition has settled it.
-                self.retries.append((job, shard, claims, bits))
+            self.sync.want_sync()
+            conflict = result.outcome is Outcome.CONFLICT
+            unsure = doubtful or result.outcome is Outcome.UNKNOWN
+            if job.stamp == stamp and (conflict or (unsure and result.outcome is not Outcome.DONE)):
+                # Nothing is placed until it is settled. A conflict says that the record is another,
+                # maybe by an earlier copy: until that is read here, the claims are not what they
+                # seem. And that a repetition was refused says nothing of the first.
+                self.doubts.append((job, shard, claims, bits, stamp, not conflict))
                 return
             job.releasing &= ~bits
-            self.sync.want_sync()
 
         conditions = [(JOB + job.id, stamp), (HOLDER + shard.name, shard.term)]
         put = wire.Put(JOB + job.id, job.with_sets(job.fin, claims))
--- a/sagecove/coordination/handover/calls.py
+++ b/sagecove/coordination/handover/calls.py
@@ -76,7 +76,7 @@
         for name, (shard, to) in doubts.items():
             machine = self.desk.machines.get(name)
             if machine is not None and machine.handing and self.desk.held.get(shard.name) is shard:
-                self._move(machine, shard, to)
+                self._move(machine, shard, to, doubtful=True)
         for call in self.mine:
             # Another shard that is held here gives as well.
             self.called(now, call)
@@ -136,9 +136,10 @@
             and (not zone or m.record.zone == zone)
         ]
 
-    def _move(self, machine: Machine, shard: Shard, to: str) -> None:
+    def _move(self, machine: Machine, shard: Shard, to: str, doubtful: bool = False) -> None:
         """Write the machine's new shard. From here on nothing is started on it: the transaction may
-        be executed long after it was sent."""
+        be executed long after it was sent. `doubtful`: an earlier copy got no answer, of which it
+        says nothing that this one is refused."""
         machine.handing = True
         record = msgspec.structs.replace(machine.record, shard=to)
         stamp = machine.stamp
@@ -146,7 +147,9 @@
         def done(result: Result) -> None:
             if self.desk.machines.get(machine.name) is not machine or machine.stamp != stamp:
                 return
-            if result.outcome is Outcome.UNKNOWN:
+            if result.outcome is Outcome.UNKNOWN or (
+                doubtful and result.outcome in (Outcome.REFUSED, Outcome.NO_LEASE)
+            ):
                 self.doubts[machine.name] = shard, to
             elif result.outcome is Outcome.CONFLICT:
                 # The record is another, or the term is over: either will be seen.
--- a/sagecove/sweeps/claims.py
+++ b/sagecove/sweeps/claims.py
@@ -375,16 +375,26 @@
         changes: list[wire.Put | wire.Drop],
         jobs: list[JobRun],
         giving: list[JobRun],
+        doubtful: bool = False,
     ) -> None:
         owner = self.owner
         self.busy = True
+        stamp = conditions[0][1]
 
         def done(result: Result) -> None:
             owner.dirty = True
-            if result.outcome is Outcome.UNKNOWN and giving and owner.held.get(shard.name) is shard:
+            unsure = doubtful or result.outcome in (Outcome.UNKNOWN, Outcome.CONFLICT)
+            current = (
+                self.stamp == stamp
+                and owner.held.get(shard.name) is shard
+                and self.feature.sweeps.get(self.sweep.id) is self.sweep
+            )
+            if giving and current and unsure and result.outcome is not Outcome.DONE:
                 # It may be executed late: what is being given back is placed by nobody until a
-                # repetition has settled it. Once the term is over it can't be executed any more.
-                self._commit(shard, conditions, changes, jobs, giving)
+                # newer record has been read. Of an earlier copy it says nothing that this one is
+                # refused, and a conflict may be that copy's work.
+                owner.sync.want_sync()
+                self._commit(shard, conditions, changes, jobs, giving, doubtful=True)
                 return
             self.busy = False
             for job in jobs + giving:
--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -183,3 +183,60 @@
     assert w.state.commit(kept[0])[0] == 409
     for node in w.owners:
         assert standing(w, node, "run-000001") == "done"
+
+
+@pytest.mark.parametrize("repeated", ["conflict", "refused"])
+def test_a_release_carried_out_late_is_not_placed_before_it_is_seen(repeated: str) -> None:
+    # meet-slow-state: held up by a cut, a release was carried out as the cut ended, just before its
+    # own repetition, whose conflict was taken for the end of the doubt: the mirror still had the
+    # claim, and the tasks began here as well as where they were claimed next.
+    w = with_machines(6)
+    for worker in w.workers.values():
+        worker.run_s = 500.0
+    w.submit("n0", job(1, hands=4))
+    w.until(lambda: w.running("run-000001") == 4, 40)
+    name = max(w.owners, key=lambda n: len(w.owners[n].jobs["run-000001"].placed))
+    owner = w.owners[name]
+    run, shard = owner.jobs["run-000001"], owner.held[name]
+    index, placement = next(iter(run.placed.items()))
+    w.workers[placement.machine.name].exit(placement.task, placement.attempt, "stopped")
+    w.until(lambda: index not in run.placed or not run.placed[index].live, 5)
+    run.hold_until = w.now + 60.0
+    w.until(lambda: bool(run.placeable(name)), 10)
+    kept: list[dict[str, Any]] = []
+
+    def astray(node: str, body: dict[str, Any]) -> str | None:
+        if kept or not any("s/job/" in change.get("put", "") for change in body["then"]):
+            return None
+        kept.append(body)
+        # What it sends next goes astray, or is refused.
+        if repeated == "refused":
+            w.state.refused.add(name)
+        else:
+            w.cut_links.add((name, "state"))
+        return "lost"
+
+    w.state.hook = astray
+    owner.claims.releasing.release(w.now, run, shard)
+    w.run(0.1)
+    assert kept and run.releasing
+    w.run(4.0)
+    run.hold_until = 0.0
+    w.state.refused.clear()
+    w.cut_links.clear()
+    w.state.watches = [watch for watch in w.state.watches if watch[0] != name]
+    if repeated == "conflict":
+        assert w.state.commit(kept[0])[0] == 200
+        # Its own reads come later than the conflict.
+        slow = owner.sync.sync_if_due, owner.sync.watch
+        owner.sync.sync_if_due = owner.sync.watch = lambda now: None  # type: ignore
+        w.run(5.0)
+        owner.sync.sync_if_due, owner.sync.watch = slow  # type: ignore
+        owner.sync.watching = False
+        w.run(20)
+    else:
+        # One that was refused says nothing of the first.
+        w.run(0.3)
+        w.state.commit(kept[0])
+        w.run(20)
+    assert w.running("run-000001") == 4
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -231,7 +231,8 @@
     index, placement = next(iter(run.placed.items()))
     run.releasing = 1 << index
     owner.backlog.stir(run)
-    owner.claims.releasing.retries.append((run, shard, dict(run.claims), 1 << index))
+    doubt = (run, shard, dict(run.claims), 1 << index, run.stamp, True)
+    owner.claims.releasing.doubts.append(doubt)
     worker = world.workers[placement.machine.name]
     worker.exit(placement.task, placement.attempt, "error")
     world.until(lambda: standing(world, "n0", "run-000001") == "done", 60)
