--- a/sagecove/lab/models.py
+++ b/sagecove/lab/models.py
@@ -70,7 +70,8 @@
         # Answers 429 to all but renewals.
         self.storm = False
         # Called with each transaction; what becomes of it: None for the usual, or `lost` (not
-        # executed, no answer), `unanswered`, `late` (no answer, executed later) or `throttled`.
+        # executed, no answer), `unanswered`, `late` (no answer, executed later), `throttled` or
+        # `refused`.
         self.hook: Callable[[str, dict[str, Any]], str | None] | None = None
 
     def tick(self) -> None:
@@ -183,8 +184,8 @@
                 )
                 answer(None, b"")
                 return
-            if verdict == "throttled":
-                answer(429, b"{}")
+            if verdict in ("throttled", "refused"):
+                answer(429 if verdict == "throttled" else 503, b"{}")
                 return
             result = self.commit(body)
             self.world.later(0.0, self.tick)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -75,7 +75,7 @@
     assert moves[0] > 0
 
 
-@pytest.mark.parametrize("verdict", ["late", "lost"])
+@pytest.mark.parametrize("verdict", ["late", "lost", "refused"])
 def test_nothing_starts_on_a_machine_whose_move_is_in_doubt(verdict: str) -> None:
     # The transaction may be executed at any later time.
     w = fleet(3, 24)
@@ -83,8 +83,11 @@
 
     def hook(node: str, body: dict[str, Any]) -> str | None:
         keys = [c["put"] for c in body["then"] if c.get("put", "").startswith("s/machine/")]
-        moved.update(key.removeprefix("s/machine/") for key in keys)
-        return verdict if keys else None
+        names = {key.removeprefix("s/machine/") for key in keys}
+        first = bool(names - moved)
+        moved.update(names)
+        # A repetition that is refused says nothing of what is still under way.
+        return ("late" if first and verdict == "refused" else verdict) if keys else None
 
     w.state.hook = hook
     w.submit("n0", job(1, hands=20, vcpus=4.0, **GANG))
