--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -97,6 +97,38 @@
         story(w)
 
 
+def test_each_transaction_is_carried_out_just_before_its_repetition() -> None:
+    for point in range(0, commits(), 2):
+        w, seen = fresh(), [0]
+        first: list[tuple[str, dict[str, Any]]] = []
+
+        def astray(
+            node: str,
+            body: dict[str, Any],
+            w: World = w,
+            seen: list[int] = seen,
+            first: list[tuple[str, dict[str, Any]]] = first,
+            at: int = point,
+        ) -> str | None:
+            seen[0] += 1
+            if seen[0] - 1 == at:
+                first.append((node, body))
+                w.later(12.0, lambda: (first and w.state.commit(first.pop()[1]), None)[1])
+                return "lost"
+            if first and first[0][0] == node and keys(first[0][1]) & keys(body):
+                w.state.commit(first.pop()[1])
+            return None
+
+        w.state.hook = astray
+        w.poll_all()
+        story(w)
+
+
+def keys(body: dict[str, Any]) -> set[str]:
+    """What a transaction writes."""
+    return {change.get("put") or change["drop"] for change in body["then"]}
+
+
 def capture(w: World, wanted: str, node: str | None = None) -> list[dict[str, Any]]:
     """Lose the next transaction that writes such a key, and keep it."""
     kept: list[dict[str, Any]] = []
