--- a/sagecove/sweeps/claims.py
+++ b/sagecove/sweeps/claims.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from sagecove.coordination.model import JobRun, Shard
@@ -64,6 +65,8 @@
         self.endings: dict[int, str] = {}
         self.due = 0.0
         self.busy = False
+        # What is in doubt, to be written once more with the next pass.
+        self.again: Callable[[], None] | None = None
 
     # -- the record -----------------------------------------------------------------------------
 
@@ -294,6 +297,9 @@
     def flush(self, now: float) -> bool:
         """Write what is to be written, as far as it may be; whether nothing is left."""
         if self.busy:
+            if self.again is not None:
+                again, self.again = self.again, None
+                again()
             return False
         acting = {name: self.owner.held[name] for name in self.owner.shards.acting_shards(now)}
         self._drop_stale(acting)
@@ -394,7 +400,7 @@
                 # newer record has been read. Of an earlier copy it says nothing that this one is
                 # refused, and a conflict may be that copy's work.
                 owner.sync.want_sync()
-                self._commit(shard, conditions, changes, jobs, giving, doubtful=True)
+                self.again = lambda: self._commit(shard, conditions, changes, jobs, giving, True)
                 return
             self.busy = False
             for job in jobs + giving:
--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -272,3 +272,44 @@
         w.state.commit(kept[0])
         w.run(20)
     assert w.running("run-000001") == 4
+
+
+def test_a_points_give_back_in_doubt_is_not_settled_by_a_refusal() -> None:
+    w = World(features=maker([("sweeps", Options())]))
+    for i in range(6):
+        w.cloud.start("small", "ab"[i % 2], False)
+    w.run(3)
+    for worker in w.workers.values():
+        worker.run_s = 500.0
+    spec = {k: v for k, v in job(9, vcpus=2.0, memoryGb=0.5).items() if k != "nameId"}
+    body = {"id": "run-s", "space": "x in 1..6", "job": spec}
+    assert w.user("n0", "POST", "/api/sweeps", body)[0] == 201
+    w.until(lambda: sum(w.running(f"run-s.p{k}") for k in range(6)) == 6, 60)
+    w.run(2)
+    name = max(w.owners, key=lambda n: sum(len(j.placed) for j in w.owners[n].jobs.values()))
+    owner = w.owners[name]
+    run = next(j for j in owner.jobs.values() if j.placed)
+    placement = run.placed[0]
+    w.workers[placement.machine.name].exit(placement.task, placement.attempt, "stopped")
+    run.hold_until = w.now + 60.0
+    w.until(lambda: bool(run.placeable(name)), 10)
+    kept: list[dict[str, Any]] = []
+
+    def astray(node: str, body: dict[str, Any]) -> str | None:
+        if kept or not any("s/points/" in change.get("put", "") for change in body["then"]):
+            return None
+        kept.append(body)
+        w.state.refused.add(name)
+        return "lost"
+
+    w.state.hook = astray
+    owner.claims.releasing.release(w.now, run, owner.held[name])
+    w.until(lambda: bool(kept), 3)
+    w.run(3.0)
+    assert run.releasing
+    w.state.hook = None
+    w.state.commit(kept[0])
+    w.state.refused.clear()
+    run.hold_until = 0.0
+    w.run(20)
+    assert sum(w.running(f"run-s.p{k}") for k in range(6)) == 6
