--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -300,16 +300,18 @@
             return None
         kept.append(body)
         w.state.refused.add(name)
+        w.state.slow_s = 1.0
         return "lost"
 
     w.state.hook = astray
     owner.claims.releasing.release(w.now, run, owner.held[name])
     w.until(lambda: bool(kept), 3)
-    w.run(3.0)
-    assert run.releasing
+    for _ in range(150):
+        w.run(0.02)
+        assert run.releasing
     w.state.hook = None
     w.state.commit(kept[0])
     w.state.refused.clear()
-    run.hold_until = 0.0
+    w.state.slow_s = 0.0
     w.run(20)
     assert sum(w.running(f"run-s.p{k}") for k in range(6)) == 6
