--- a/sagecove/coordination/peers.py
+++ b/sagecove/coordination/peers.py
@@ -56,6 +56,8 @@
         # By node: its last hints, as many as it tells parts in, which are all it has said last.
         self.told: dict[str, deque[Hint]] = {}
         self.part = 0
+        # What strangers, or other builds, have said that makes no sense.
+        self.odd: set[str] = set()
         # By shard, until when some of its machines are to run empty.
         self.draining: dict[str, float] = {}
 
@@ -160,9 +162,12 @@
                 self.owner.effects.append(Reply(ask.exchange, 200, Promise()))
                 return
             hint = read_hint(ask.body)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            self._odd(f"unreadable {ask.path} why={error}")
             self.owner.effects.append(Reply(ask.exchange, 400, Refusal("unreadable")))
             return
+        if hint.node not in self.owner.settings.nodes:
+            self._odd(f"hint of a stranger node={hint.node[:100]}")
         if hint.node in self.owner.settings.nodes:
             self.hints[hint.node] = (self.owner.now, hint)
             parts = min(max(1, hint.parts), PARTS_MOST)
@@ -190,6 +195,12 @@
         promise = self.owner.leadership.promise(hint.node, hint.applied)
         self.owner.effects.append(Reply(ask.exchange, 200, promise))
 
+    def _odd(self, what: str) -> None:
+        """Log what no controller of these settings says, once."""
+        if what not in self.odd and len(self.odd) < PARTS_MOST:
+            self.odd.add(what)
+            log.info("%s", what)
+
     def running_elsewhere(self, job_id: str) -> int:
         """Running tasks of a job on other controllers' machines, for display."""
         return sum(
--- a/tests/test_refused_leader.py
+++ b/tests/test_refused_leader.py
@@ -358,6 +358,38 @@
     assert owner.leadership.acting_until() == until
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"{}",
+        b"[1]",
+        b'{"node": "n1", "applied": "far"}',
+        b'{"node": "n1", "cancelled": {}}',
+        b'{"node": "n9"}',
+    ],
+)
+def test_odd_hints_get_no_promise_and_one_line_in_the_log(
+    body: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level("INFO", "sagecove.peers")
+    w = world()
+    w.state.outage(True)
+    w.run(2)
+    owner = w.owners["n0"]
+    given = owner.leadership.given_until
+    for _ in range(3):
+        ask = Asked("POST", "/hint", body, "odd", True)
+        effects = owner.handle([ask], w.now, w.now)
+        told = [e for e in effects if isinstance(e, Reply) and e.exchange == "odd"]
+        assert [e.status for e in told] == ([200] if b"n9" in body else [400])
+        assert told[0].body == Promise() or told[0].status == 400
+    assert owner.leadership.given_until == given
+    assert (
+        len([r for r in caplog.records if "unreadable" in r.message or "stranger" in r.message])
+        == 1
+    )
+
+
 def test_promises_of_an_earlier_build_count_by_what_has_been_read() -> None:
     w = world()
     owner = w.owners["n0"]
