After a last reading: one way to be alone, to let what was held go on, to count transactions

Behaviour as before. The stand-ins get World.alone, FakeWorker.go_on and takes_s, in place of six copies; stories use test_sweeps' world and submit, one leader and one way to set a deployment's times. A release in doubt has named fields; a stranger's hint is turned away in one place, so that promises need not look again. A comment that spoke of gangs ending task by task was no longer true.

--- a/sagecove/coordination/claims/releasing.py
+++ b/sagecove/coordination/claims/releasing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from sagecove.coordination.claims.ground import Ground
 from sagecove.coordination.model import JobRun, Shard
 from sagecove.coordination.ports import Desk, Syncing
@@ -9,7 +11,17 @@
 from sagecove.storage.records import HOLDER, JOB
 from sagecove.storage.store import Outcome, Result
 
-Doubt = tuple[JobRun, Shard, dict[str, int], int, int, bool]
+
+class Doubt(NamedTuple):
+    """A release whose outcome is not known: tasks (`bits`), the job's claims without them, the
+    record it was written on, and if it is to be sent once more."""
+
+    job: JobRun
+    shard: Shard
+    claims: dict[str, int]
+    bits: int
+    stamp: int
+    again: bool
 
 
 class Releasing:
@@ -19,8 +31,6 @@
         self.desk = desk
         self.sync = sync
         self.ground = ground
-        # Releases in doubt: job, shard, claims without them, tasks, the record they were written
-        # on, and if they are to be sent once more.
         self.doubts: list[Doubt] = []
 
     def release(self, now: float, job: JobRun, shard: Shard) -> None:
@@ -83,7 +93,7 @@
                 # Nothing is placed until it is settled. A conflict says that the record is another,
                 # maybe by an earlier copy: until that is read here, the claims are not what they
                 # seem. And that a repetition was refused says nothing of the first.
-                self.doubts.append((job, shard, claims, bits, stamp, not conflict))
+                self.doubts.append(Doubt(job, shard, claims, bits, stamp, not conflict))
                 return
             job.releasing &= ~bits
 
--- a/sagecove/coordination/leadership.py
+++ b/sagecove/coordination/leadership.py
@@ -63,13 +63,13 @@
 
     # -- promises in an outage --------------------------------------------------------------------
 
-    def promise(self, node: str, applied: int) -> Promise:
+    def promise(self, applied: int) -> Promise:
         """Answer the hint of a peer that has read up to the revision `applied`: what has been
         cancelled since, as far as users were told of it here, and a promise only while refused
         ourselves, so that a peer refused alone is replaced in time."""
         owner = self.owner
         cancels = owner.cancels
-        if node not in owner.settings.nodes or not owner.mirror.loaded:
+        if not owner.mirror.loaded:
             return Promise()
         known = Promise(0.0, cancels.last, cancels.floor, cancels.since(applied))
         refused = (
--- a/sagecove/coordination/peers.py
+++ b/sagecove/coordination/peers.py
@@ -33,6 +33,8 @@
 PART_MOST = 1000
 FEW = 200
 PARTS_MOST = 20
+# Things that make no sense which are logged, once each.
+ODD_MOST = 20
 
 
 class Teller(NamedTuple):
@@ -168,36 +170,40 @@
             return
         if hint.node not in self.owner.settings.nodes:
             self._odd(f"hint of a stranger node={hint.node[:100]}")
-        if hint.node in self.owner.settings.nodes:
-            self.hints[hint.node] = (self.owner.now, hint)
-            parts = min(max(1, hint.parts), PARTS_MOST)
-            told = self.told.get(hint.node)
-            if told is None or told.maxlen != parts:
-                told = self.told[hint.node] = deque(told or (), maxlen=parts)
-            told.append(hint)
-            for job_id, (shard, count) in hint.hungry.items():
-                self.hungry[job_id] = (shard, count, self.owner.now)
-            self.drain(hint)
-            self._wanted(hint.node, hint.wants)
-            self.owner.images.heard(self.owner.now, hint.node, hint.warm)
-            for call in hint.calls:
-                self.owner.calls.called(self.owner.now, call)
-            self.owner.limits.told_completed(self.owner.now, hint.node, hint.ended)
-            for job_id in hint.failing:
-                if (job := self.owner.jobs.get(job_id)) is not None:
-                    job.blamed_elsewhere_at = self.owner.now
-            for name in hint.strangers:
-                if (machine := self.owner.machines.get(name)) is not None:
-                    machine.elsewhere_at = self.owner.now
-            if any(job_id in self.owner.jobs for job_id in hint.cancelled):
-                self.owner.cancels.stop(hint.cancelled)
-                self.owner.sync.want_sync()
-        promise = self.owner.leadership.promise(hint.node, hint.applied)
+            self.owner.effects.append(Reply(ask.exchange, 200, Promise()))
+            return
+        self._hint(hint)
+        promise = self.owner.leadership.promise(hint.applied)
         self.owner.effects.append(Reply(ask.exchange, 200, promise))
 
+    def _hint(self, hint: Hint) -> None:
+        self.hints[hint.node] = (self.owner.now, hint)
+        parts = min(max(1, hint.parts), PARTS_MOST)
+        told = self.told.get(hint.node)
+        if told is None or told.maxlen != parts:
+            told = self.told[hint.node] = deque(told or (), maxlen=parts)
+        told.append(hint)
+        for job_id, (shard, count) in hint.hungry.items():
+            self.hungry[job_id] = (shard, count, self.owner.now)
+        self.drain(hint)
+        self._wanted(hint.node, hint.wants)
+        self.owner.images.heard(self.owner.now, hint.node, hint.warm)
+        for call in hint.calls:
+            self.owner.calls.called(self.owner.now, call)
+        self.owner.limits.told_completed(self.owner.now, hint.node, hint.ended)
+        for job_id in hint.failing:
+            if (job := self.owner.jobs.get(job_id)) is not None:
+                job.blamed_elsewhere_at = self.owner.now
+        for name in hint.strangers:
+            if (machine := self.owner.machines.get(name)) is not None:
+                machine.elsewhere_at = self.owner.now
+        if any(job_id in self.owner.jobs for job_id in hint.cancelled):
+            self.owner.cancels.stop(hint.cancelled)
+            self.owner.sync.want_sync()
+
     def _odd(self, what: str) -> None:
         """Log what no controller of these settings says, once."""
-        if what not in self.odd and len(self.odd) < PARTS_MOST:
+        if what not in self.odd and len(self.odd) < ODD_MOST:
             self.odd.add(what)
             log.info("%s", what)
 
--- a/sagecove/lab/models.py
+++ b/sagecove/lab/models.py
@@ -415,6 +415,14 @@
             self.execute(body["orders"])
         return status, json.dumps(self.body()).encode()
 
+    def go_on(self) -> None:
+        """No way to it is cut any more: what was held up arrives, in order."""
+        self.cut = self.cut_direct = False
+        late, self.held = self.held, []
+        for raw in late:
+            if not self.dead:
+                self.commands(raw)
+
     def execute(self, orders: list[dict[str, Any]]) -> None:
         for order in orders:
             task, attempt = order["hand"], order["try"]
@@ -461,8 +469,7 @@
                 self.world.later(GANG_WAIT_S, lambda: self.incomplete(task, attempt))
                 self.gather(task.split("/")[0], attempt, spec)
             elif spec["shape"] != "service":
-                run_s = spec["reckonS"] if self.run_s is None else self.run_s
-                self.world.later(run_s / self.pace, lambda: self.exit(task, attempt, "done"))
+                self.world.later(self.takes_s(spec), lambda: self.exit(task, attempt, "done"))
 
         self.world.describe(task.split("/")[0], described)
 
@@ -486,8 +493,11 @@
         if len(gathered := members("waiting")) == len(names):
             for worker, task in gathered:
                 worker.tasks[task]["standing"] = "running"
-            run_s = spec["reckonS"] if self.run_s is None else self.run_s
-            self.world.later(run_s / self.pace, over)
+            self.world.later(self.takes_s(spec), over)
+
+    def takes_s(self, spec: dict[str, Any]) -> float:
+        """How long a task runs here."""
+        return float(spec["reckonS"] if self.run_s is None else self.run_s) / self.pace
 
     def incomplete(self, task: str, attempt: int) -> None:
         """A gang task has waited for the others for too long."""
--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -132,6 +132,15 @@
             self.cut_links |= {(a, b) for a in one for b in other}
             self.cut_links |= {(a, addresses[b]) for a in one for b in other}
 
+    def alone(self, node: str, refusing: bool) -> None:
+        """A controller has only its workers and users left; the state service refuses it, or is
+        silent."""
+        self.part([node], [n for n in self.inbox if n != node])
+        if refusing:
+            self.state.refused.add(node)
+        else:
+            self.cut_links.add((node, "state"))
+
     # -- controllers ----------------------------------------------------------------------------
 
     def boot_node(self, number: int) -> None:
--- a/tests/test_known.py
+++ b/tests/test_known.py
@@ -1,6 +1,7 @@
 """Every accepted job stays known and is served: the checks themselves, then controllers that end
 between any two effects and are back within a second, or are alone with their workers."""
 
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -77,9 +78,8 @@
     w.check_served()
 
 
-def commits() -> int:
-    """How many transactions the story makes when nothing fails."""
-    w = with_machines(6)
+def commits(w: World, play: Callable[[World], None]) -> int:
+    """How many transactions a story makes when nothing fails."""
     count = [0]
 
     def counted(node: str, body: dict[str, Any]) -> None:
@@ -95,7 +95,7 @@
 def test_a_controller_that_ends_with_any_transaction_and_is_back_at_once(
     executed: bool, twice: bool
 ) -> None:
-    for point in range(0, commits(), 2 if twice else 1):
+    for point in range(0, commits(with_machines(6), play), 2 if twice else 1):
         w = with_machines(6)
         seen = [0]
 
@@ -159,11 +159,7 @@
     starts = len(w.starts)
     others = [n for n in w.owners if n not in alone]
     for name in alone:
-        w.part([name], [n for n in w.owners if n != name])
-        if refusing:
-            w.state.refused.add(name)
-        else:
-            w.cut_links.add((name, "state"))
+        w.alone(name, refusing)
     begun = w.now
     w.run(seconds)
     if seconds > 9:
--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from sagecove.features import maker
 from sagecove.lab.deployment import LEASE_S, job
 from sagecove.lab.world import World, standing, with_machines
-from sagecove.sweeps.feature import Options
-from tests.test_known import persist
+from tests.test_known import commits, persist
+from tests.test_sweeps import submit as submit_sweep
+from tests.test_sweeps import world as sweeping
 
 # What happens to the controller that sent it: nothing, it is back at once, it is back later than
 # its shard has been taken.
@@ -28,7 +28,7 @@
     persist(w, "POST", "/api/jobs", w.spec(job(2, outfit="blue", hands=5, vcpus=2.0)))
     persist(w, "POST", "/api/jobs", w.spec(job(3, shape="service", hands=2, rank="production")))
     w.run(14)
-    # Gangs of the stand-ins' end task by task, so all at one pace; then the arrays' far apart.
+    # The gang at the usual pace; then an array's tasks that end far apart.
     persist(w, "POST", "/api/jobs", w.spec(job(4, shape="ensemble", hands=3, rank="urgent")))
     w.until(lambda: w.running("run-000004") == 3, 60)
     for n, worker in enumerate(w.workers.values()):
@@ -56,23 +56,11 @@
     return w
 
 
-def commits() -> int:
-    """How many transactions the story makes when nothing fails."""
-    w, count = fresh(), [0]
-
-    def counted(node: str, body: dict[str, Any]) -> None:
-        count[0] += 1
-
-    w.state.hook = counted
-    story(w)
-    return count[0]
-
-
 @pytest.mark.parametrize("between", BETWEEN)
 @pytest.mark.parametrize("pair", [False, True])
 def test_each_transaction_of_a_story_is_carried_out_late(pair: bool, between: str) -> None:
     back_s = BETWEEN[between]
-    every = commits()
+    every = commits(fresh(), story)
     assert every > 30
     # Each one alone; with another failure beside it, some.
     for point in range(0, every, 1 if not pair and back_s is None else 5):
@@ -98,7 +86,7 @@
 
 
 def test_each_transaction_is_carried_out_just_before_its_repetition() -> None:
-    for point in range(0, commits(), 2):
+    for point in range(0, commits(fresh(), story), 2):
         w, seen = fresh(), [0]
         first: list[tuple[str, dict[str, Any]]] = []
 
@@ -178,16 +166,11 @@
 
 
 def test_a_first_claim_carried_out_late_brings_no_block_back_that_is_over() -> None:
-    w = World(features=maker([("sweeps", Options())]))
-    for i in range(6):
-        w.cloud.start("small", "ab"[i % 2], False)
-    w.run(3)
+    w = sweeping()
     for worker in w.workers.values():
         worker.run_s = 0.2
-    spec = {k: v for k, v in job(9, vcpus=0.5, memoryGb=0.5).items() if k != "nameId"}
     kept = capture(w, "s/points/run-s/")
-    body = {"id": "run-s", "space": "x in 1..2000", "job": spec}
-    assert w.user("n0", "POST", "/api/sweeps", body)[0] == 201
+    assert submit_sweep(w, "x in 1..2000", vcpus=0.5, memoryGb=0.5)[0] == 201
     w.until(lambda: bool(kept), 20)
     block = kept[0]["then"][0]["put"]
     over = block.replace("s/points", "o/points")
@@ -275,15 +258,10 @@
 
 
 def test_a_points_give_back_in_doubt_is_not_settled_by_a_refusal() -> None:
-    w = World(features=maker([("sweeps", Options())]))
-    for i in range(6):
-        w.cloud.start("small", "ab"[i % 2], False)
-    w.run(3)
+    w = sweeping()
     for worker in w.workers.values():
         worker.run_s = 500.0
-    spec = {k: v for k, v in job(9, vcpus=2.0, memoryGb=0.5).items() if k != "nameId"}
-    body = {"id": "run-s", "space": "x in 1..6", "job": spec}
-    assert w.user("n0", "POST", "/api/sweeps", body)[0] == 201
+    assert submit_sweep(w, "x in 1..6", vcpus=2.0, memoryGb=0.5)[0] == 201
     w.until(lambda: sum(w.running(f"run-s.p{k}") for k in range(6)) == 6, 60)
     w.run(2)
     name = max(w.owners, key=lambda n: sum(len(j.placed) for j in w.owners[n].jobs.values()))
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from sagecove.lab import deployment, models, rules
 from sagecove.lab.deployment import CANCEL_S, LEASE_S, REPORT_S, job
 from sagecove.lab.models import FakeWorker
 from sagecove.lab.world import World, standing
 from tests.test_known import persist
+from tests.test_refused_leader import at_ratio, leader
 
 LONG, DOOMED = "run-000001", "run-000002"
 COPIES = {"no copies": [], "copies": [1.0, 5.0, 30.0]}
@@ -34,10 +34,6 @@
     return w
 
 
-def leader(w: World, job_id: str = DOOMED) -> str:
-    return max(w.owners, key=lambda n: len(w.owners[n].jobs[job_id].placed))
-
-
 def others(w: World, node: str) -> list[str]:
     return [n for n in sorted(w.owners) if n != node]
 
@@ -81,12 +77,8 @@
     cancel_at: float, refusing: bool, nodes: int, copies: str
 ) -> None:
     w = world(COPIES[copies], nodes)
-    lead = leader(w)
-    w.part([lead], others(w, lead))
-    if refusing:
-        w.state.refused.add(lead)
-    else:
-        w.cut_links.add((lead, "state"))
+    lead = leader(w, DOOMED)
+    w.alone(lead, refusing)
     w.run(cancel_at)
     persist_at(w, others(w, lead)[0])
     for _ in range(int(1.2 * CANCEL_S / 4)):
@@ -103,18 +95,11 @@
 def test_alone_with_workers_at_the_tightest_settings_no_session_is_lost(
     refusing: bool, seconds: float, alone: list[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    for name, value in (("REPORT_S", 1.5), ("LEASE_S", 10.0), ("CANCEL_S", 30.0)):
-        for module in (deployment, models, rules):
-            if hasattr(module, name):
-                monkeypatch.setattr(module, name, value)
+    at_ratio(monkeypatch, "annex")
     w = world([])
     starts = len(w.starts)
     for name in alone:
-        w.part([name], others(w, name))
-        if refusing:
-            w.state.refused.add(name)
-        else:
-            w.cut_links.add((name, "state"))
+        w.alone(name, refusing)
     w.run(seconds)
     settle(w)
     assert w.running(LONG) == w.running(DOOMED) == 6 and len(w.starts) == starts
@@ -138,7 +123,7 @@
     slow_s: float, then_down: bool, copies: str
 ) -> None:
     w = world(COPIES[copies])
-    lead = leader(w)
+    lead = leader(w, DOOMED)
     w.state.slow_s = slow_s
     for node in others(w, lead):
         w.ask(node, "POST", f"/api/jobs/{DOOMED}/cancel", b"", lambda status, body: None)
@@ -211,7 +196,7 @@
     event: Callable[[World, str], None], held_s: float, copies: str
 ) -> None:
     w = world(COPIES[copies])
-    lead = leader(w)
+    lead = leader(w, DOOMED)
     held = mine(w, lead)
     for worker in held:
         worker.cut_direct = True
@@ -221,11 +206,7 @@
     event(w, lead)
     w.run(held_s)
     for worker in held:
-        worker.cut_direct = False
-        late, worker.held = worker.held, []
-        for raw in late:
-            if not worker.dead:
-                worker.commands(raw)
+        worker.go_on()
     w.run(3)
     settle(w)
     w.until(lambda: standing(w, "n0", "run-000003") == "done", 75)
@@ -244,7 +225,7 @@
 ) -> None:
     w = world(COPIES[copies])
     w.refuses = True
-    lead = leader(w)
+    lead = leader(w, DOOMED)
     order = [lead, *others(w, lead)]
     for node in order:
         w.kill(node)
@@ -276,7 +257,7 @@
     seconds: float, how: str, copies: str
 ) -> None:
     w = world(COPIES[copies])
-    lead = leader(w)
+    lead = leader(w, DOOMED)
     far = mine(w, lead)[:2]
     for worker in far:
         if how == "deaf":
@@ -289,11 +270,7 @@
     # Room elsewhere for what is provably gone; none begins twice (World.started).
     w.cloud.capacity["small"] = 12
     for worker in far:
-        worker.cut = worker.cut_direct = False
-        late, worker.held = worker.held, []
-        for raw in late:
-            if not worker.dead:
-                worker.commands(raw)
+        worker.go_on()
     w.unreached.clear()
     w.run(2 * REPORT_S)
     settle(w)
--- a/tests/test_refused_leader.py
+++ b/tests/test_refused_leader.py
@@ -10,12 +10,11 @@
 
 from models.cancels import Broken, Mistake, Model
 from sagecove.coordination.effects import Asked, Reply
-from sagecove.features import maker
 from sagecove.lab import deployment, models, rules
 from sagecove.lab.deployment import CANCEL_S, LEASE_S, job, settings
 from sagecove.lab.world import World
 from sagecove.protocol.peers import Hint, Promise
-from sagecove.sweeps.feature import Options
+from tests.test_sweeps import ON, submit
 
 DOOMED = "run-000001"
 KEPT = "run-000002"
@@ -208,11 +207,7 @@
     w.state.outage(True)
     w.run(1.2 * CANCEL_S)
     for name in far:
-        worker = w.workers[name]
-        worker.cut_direct = False
-        held, worker.held = worker.held, []
-        for raw in held:
-            worker.commands(raw)
+        w.workers[name].go_on()
     w.run(5)
     assert w.running("run-000003") == 0
 
@@ -225,6 +220,14 @@
 }
 
 
+def at_ratio(monkeypatch: pytest.MonkeyPatch, ratio: str) -> None:
+    """What is played from here on goes by a deployment's own times."""
+    for name, value in zip(("REPORT_S", "LEASE_S", "CANCEL_S"), RATIOS[ratio], strict=True):
+        for module in (deployment, models, rules):
+            if hasattr(module, name):
+                monkeypatch.setattr(module, name, value)
+
+
 @pytest.mark.parametrize("ratio", RATIOS)
 @pytest.mark.parametrize("way", WAYS)
 @pytest.mark.parametrize("lead_s", [0.0, 4.0])
@@ -234,10 +237,7 @@
     lead_s: float,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    for name, value in zip(("REPORT_S", "LEASE_S", "CANCEL_S"), RATIOS[ratio], strict=True):
-        for module in (deployment, models, rules):
-            if hasattr(module, name):
-                monkeypatch.setattr(module, name, value)
+    at_ratio(monkeypatch, ratio)
     w = world()
     lead = leader(w)
     way(w, lead, [n for n in sorted(w.owners) if n != lead])
@@ -253,10 +253,8 @@
     whole: bool, lost: bool
 ) -> None:
     # Points are not named: the leader stops in time, by its promises' end.
-    w = world(features=maker([("sweeps", Options())]))
-    spec = {k: v for k, v in job(9, vcpus=0.5, memoryGb=0.5).items() if k != "nameId"}
-    body = {"id": "run-s", "space": "x in 1..12", "job": spec}
-    assert w.user("n0", "POST", "/api/sweeps", body)[0] == 201
+    w = world(features=ON)
+    assert submit(w, "x in 1..12", vcpus=0.5, memoryGb=0.5)[0] == 201
     points = [f"run-s.p{k}" for k in range(12)]
     w.until(lambda: sum(map(w.running, points)) == 12, 60)
     lead = max(w.owners, key=lambda n: sum(len(j.placed) for j in w.owners[n].jobs.values()))
--- a/tests/test_trouble_machine.py
+++ b/tests/test_trouble_machine.py
@@ -74,11 +74,7 @@
 
     @rule(node=NODES, refusing=st.booleans())
     def alone_with_its_workers(self, node: str, refusing: bool) -> None:
-        self.w.part([node], [n for n in self.w.inbox if n != node])
-        if refusing:
-            self.w.state.refused.add(node)
-        else:
-            self.w.cut_links.add((node, "state"))
+        self.w.alone(node, refusing)
 
     @rule(node=NODES, seconds=st.sampled_from([1.0, 5.0, 10.0]))
     def stand_still(self, node: str, seconds: float) -> None:
@@ -103,17 +99,10 @@
     def the_state_service_is_slow(self, slow_s: float) -> None:
         self.w.state.slow_s = slow_s
 
-    def go_on(self) -> None:
-        """What was held up arrives, in order."""
-        for worker in self.w.workers.values():
-            worker.cut = worker.cut_direct = False
-            late, worker.held = worker.held, []
-            for raw in late:
-                worker.commands(raw)
-
     @rule()
     def mend(self) -> None:
-        self.go_on()
+        for worker in self.w.workers.values():
+            worker.go_on()
         self.w.state.slow_s = 0.0
         self.w.cut_links.clear()
         self.w.state.refused.clear()
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sagecove.coordination.claims.releasing import Doubt
 from sagecove.coordination.effects import Asked, Reply
 from sagecove.lab.deployment import job
 from sagecove.lab.world import World, standing, with_machines
@@ -231,7 +232,7 @@
     index, placement = next(iter(run.placed.items()))
     run.releasing = 1 << index
     owner.backlog.stir(run)
-    doubt = (run, shard, dict(run.claims), 1 << index, run.stamp, True)
+    doubt = Doubt(run, shard, dict(run.claims), 1 << index, run.stamp, True)
     owner.claims.releasing.doubts.append(doubt)
     worker = world.workers[placement.machine.name]
     worker.exit(placement.task, placement.attempt, "error")
