Nobody joins a read of a job's end that is under way; cancellations lose to no claim

A cancellation is conditional on the job not being over. Submissions that are known are told so before they are judged; patterns end in \Z; gangs and services that can never be apart in zones are refused.

--- a/sagecove/config.py
+++ b/sagecove/config.py
@@ -11,8 +11,8 @@
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Share = Annotated[float, msgspec.Meta(gt=0, le=64)]
 Amount = Annotated[float, msgspec.Meta(ge=0)]
-Name = Annotated[str, msgspec.Meta(min_length=1, max_length=100, pattern=r"^[^\s/]+$")]
-Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=100, pattern=r"^[^\s/]+\Z")]
+Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}\Z")]
 
 
 class SettingsError(Exception):
@@ -47,7 +47,7 @@
     """A team's guarantee and limit. In the settings a limit of 0 means that there is none: taken
     for a limit of nothing, it once had every job of a guest team refused as impossible."""
 
-    name: Annotated[str, msgspec.Meta(min_length=1, max_length=150, pattern=r"^[^\s/]+$")]
+    name: Annotated[str, msgspec.Meta(min_length=1, max_length=150, pattern=r"^[^\s/]+\Z")]
     cpus: Amount
     cpus_max: Amount
     gpus: Amount = 0.0
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -31,6 +31,12 @@
 log = logging.getLogger("sagecove.users")
 
 FINALS_KEPT = 20_000
+REFUSE = "refuse:"
+
+
+def refusing(status: int, why: str) -> str:
+    """A kind of request: a submission that is refused unless its job is known all the same."""
+    return f"{REFUSE}{status}:{why}"
 
 
 class Users:
@@ -45,7 +51,9 @@
         # may stand still between a read that has been sent and a request that comes after it.
         self.waiting: list[tuple[int, str, str, Any]] = []
         self.asked = 0
+        # Reads of what became of jobs, with who waits for them, and who came since they were sent.
         self.reading: dict[str, list[tuple[str, Any]]] = {}
+        self.next_reading: dict[str, list[tuple[str, Any]]] = {}
         self.submitting: dict[str, list[Any]] = {}
 
     # -- answers --------------------------------------------------------------------------------
@@ -102,21 +110,24 @@
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
             self.reply(exchange, 400, u.Refusal(str(error)[:300]))
             return
-        if len(body) > owner.settings.params.state.value_kb * 512:
-            # Its record would not fit the state service, beside the sets of its tasks.
-            self.reply(exchange, 400, u.Refusal("the submission is too long"))
-            return
+        # An id that a feature has given away was never accepted: its guard is in that transaction.
         guards = [feature.guard(job.id) for feature in owner.features]
         refusal = next((guard for guard in guards if isinstance(guard, str)), None)
         if refusal is not None:
             self.reply(exchange, 422, u.Refusal(refusal))
             return
+        # What is known already is told first: whatever would be said of it as a new job, it was
+        # accepted.
         if job.id in self.finals:
             self._tell_final("submit", job.id, exchange)
             return
         if job.id in owner.jobs:
             self.await_read("submit", job.id, exchange)
             return
+        if len(body) > owner.settings.params.state.value_kb * 512:
+            # Its record would not fit the state service, beside the sets of its tasks.
+            self.await_read(refusing(400, "the submission is too long"), job.id, exchange)
+            return
         if not owner.mirror.loaded or not owner.types:
             self.later(exchange, "the machine types are not known yet")
             return
@@ -126,7 +137,7 @@
         reason = self.impossible(job)
         if reason is not None:
             # A job that was accepted under other circumstances must not be refused now.
-            self.await_read("refuse:" + reason, job.id, exchange)
+            self.await_read(refusing(422, reason), job.id, exchange)
             return
         if job.id in self.submitting:
             self.submitting[job.id].append(exchange)
@@ -152,6 +163,10 @@
         count = 1 if job.kind == u.ARRAY else job.tasks
         if count * job.cpus > team.cpus_max + 1e-6 or count * job.gpus > team.gpus_max + 1e-6:
             return f"needs more than the limit of team {job.team}"
+        if job.spread and job.tasks > 1 and job.kind != u.ARRAY:
+            zones = {z for t in fitting for z in t.zones if job.zone in (None, z)}
+            if job.one_zone or len(zones) < 2:
+                return "its tasks can't be both apart in zones and all in one"
         return None
 
     def _store(self, spec: u.Job, exchange: Any, guards: list[Guard]) -> None:
@@ -304,14 +319,19 @@
 
     def read_final(self, kind: str, job_id: str, exchange: Any) -> None:
         """Not live: over, or never accepted."""
+        if job_id in self.reading:
+            # The state service may have answered that read already, and the job may have been
+            # accepted, and be over, since: one that begins only now says.
+            self.next_reading.setdefault(job_id, []).append((kind, exchange))
+        else:
+            self._read_over(job_id, [(kind, exchange)])
+
+    def _read_over(self, job_id: str, waiters: list[tuple[str, Any]]) -> None:
         owner = self.owner
-        waiters = self.reading.setdefault(job_id, [])
-        waiters.append((kind, exchange))
-        if len(waiters) > 1:
-            return
+        self.reading[job_id] = waiters
 
         def done(status: int | None, body: bytes) -> None:
-            waiters = self.reading.pop(job_id, [])
+            del self.reading[job_id]
             pair = decode(body, Pair) if status == 200 else None
             if pair is not None:
                 try:
@@ -325,13 +345,20 @@
                     self._tell_final(kind, job_id, exchange)
                 elif status != 404:
                     self.later(exchange, "the state service does not answer")
-                elif kind.startswith("refuse:"):
-                    log.info("refused job=%s why=%s", job_id, kind[7:])
-                    self.reply(exchange, 422, u.Refusal(kind[7:]))
+                elif kind.startswith(REFUSE):
+                    code, _, why = kind.removeprefix(REFUSE).partition(":")
+                    log.info("refused job=%s why=%s", job_id, why)
+                    self.reply(exchange, int(code), u.Refusal(why))
                 elif kind == "submit":
                     self.later(exchange, "try again")
                 else:
                     self.reply(exchange, 404, u.Refusal("no such job"))
+            later = self.next_reading.pop(job_id, [])
+            if job_id in self.finals:
+                for kind, exchange in later:
+                    self._tell_final(kind, job_id, exchange)
+            elif later:
+                self._read_over(job_id, later)
 
         owner.store.read(owner.now, OVER + job_id, done)
 
@@ -340,9 +367,11 @@
         if job.home is not None:
             job.home.cancel(job, exchange)
             return
-        key = JOB + job.id
+        # Not on the record's revision: claims and results move that on all the time, and a job with
+        # many tasks had no end of conflicts. It was accepted and is not over: that is all it takes,
+        # whenever it is carried out.
         changes: list[wire.Put | wire.Drop] = [
-            wire.Drop(key),
+            wire.Drop(JOB + job.id),
             wire.Put(OVER + job.id, OverRecord(u.CANCELLED, job.spec.tasks)),
         ]
 
@@ -352,9 +381,9 @@
                 owner.peers.hint_cancel(job.id)
                 self.reply(exchange, 200, u.Status(job.id, u.CANCELLED))
             elif result.outcome is Outcome.CONFLICT:
-                # The record moved on meanwhile: look again.
+                # It is over.
                 self.await_read("cancel", job.id, exchange)
             else:
                 self.unanswered(exchange)
 
-        owner.commit([(key, job.stamp)], changes, done, urgent=True)
+        owner.commit([(OVER + job.id, 0)], changes, done, urgent=True)
--- a/sagecove/lab/models.py
+++ b/sagecove/lab/models.py
@@ -67,6 +67,8 @@
         # Seconds until a request is answered, after it was executed: longer than its sender's
         # patience, and the answer comes after the client gave up.
         self.slow_s = 0.0
+        # Seconds until the answer to one request, by who asks and its path; None: `slow_s`.
+        self.answer_after: Callable[[str, str], float] | None = None
         # Answers 429 to all but renewals.
         self.storm = False
         # Called with each transaction; what becomes of it: None for the usual, or `lost` (not
@@ -149,11 +151,12 @@
         body: Any,
         answer: Answer,
     ) -> None:
-        if self.slow_s:
+        wait_s = self.answer_after(node, path) if self.answer_after else self.slow_s
+        if wait_s:
             given = answer
 
             def answer(status: int | None, body: bytes) -> None:
-                self.world.later(self.slow_s, lambda: given(status, body))
+                self.world.later(wait_s, lambda: given(status, body))
 
         if self.storm and not path.endswith("/renew"):
             answer(429, b"{}")
--- a/sagecove/lab/rules.py
+++ b/sagecove/lab/rules.py
@@ -3,17 +3,21 @@
 Shares no code with the controllers. A breach raises `RuleBroken`, which names the rule first.
 """
 
+import itertools
 from collections.abc import Callable
 from random import Random
 from typing import Any
 
-from sagecove.lab.deployment import CANCEL_S, LEASE_S, TEAMS
+from sagecove.lab.deployment import CANCEL_S, LEASE_S, TEAMS, TYPES, job
 from sagecove.lab.models import FakeWorker
 
 # The operators' addition to the rules (seconds; share).
 FORGOTTEN_S = 75.0
 BEGIN_S = 240.0
+WAIT_S = 90.0
 HALF = 0.5
+# What every submission has; those that may be null may also be left out.
+FIELDS = set(job(0)) - {"breeds", "range", "dueS"}
 
 
 class RuleBroken(AssertionError):
@@ -38,6 +42,13 @@
         self.broken: set[str] = set()
         # What users have been told of jobs: the last state, and tasks that completed.
         self.told: dict[str, str] = {}
+        # The same in the order of the users' clocks: from which moment on a job has been accepted,
+        # done or cancelled for its users. A request begun before that may be answered as before.
+        self.moments = itertools.count()
+        self.since: dict[str, list[tuple[int, str]]] = {}
+        # Tasks that started after their users had been told of the cancellation: (task, how long
+        # after). Messages under way make some of them; none may be `cancel_s` late.
+        self.late_starts: list[tuple[str, float]] = []
         # Teams whose limits hold, and those of the settings that controllers are started with.
         self.teams = TEAMS
         # (time, task, machine).
@@ -47,6 +58,9 @@
         self.submitted: dict[str, float] = {}
         self.unanswered: dict[str, float] = {}
         self.calm_at: float | None = None
+        # Jobs that wait though they could begin, and since when.
+        self.could_begin: dict[str, float] = {}
+        self.looked_at = 0.0
 
     def describe(self, job_id: str, done: Callable[[dict[str, Any] | None], None]) -> None:
         """A job's description, as workers fetch it: what its user has uploaded."""
@@ -78,6 +92,8 @@
             raise RuleBroken(f"wrong_place {task}: zones {zones}")
         if spec["scatter"] and zones.count(info["range"]) > (spec["hands"] + 1) // 2:
             raise RuleBroken(f"wrong_place {task}: zones {zones}")
+        if job_id in self.cancelled:
+            self.late_starts.append((task, self.now - self.cancelled[job_id]))
         self._check_cancelled(job_id)
 
     def _check_cancelled(self, job_id: str) -> None:
@@ -102,13 +118,65 @@
             for job_id, since in self.unanswered.items():
                 if self.now - max(since, self.calm_at) > FORGOTTEN_S:
                     raise RuleBroken(f"forgotten {job_id}: no question answered")
+            if self.now - self.looked_at >= 1.0:
+                self.looked_at = self.now
+                self._check_waiting(used)
         for team in self.teams:
             if team["cpus_max"] and used.get(team["name"], 0.0) > team["cpus_max"] + 1e-6:
                 raise RuleBroken(f"quota {team['name']} uses {used[team['name']]} CPUs")
 
-    def answered(self, job_id: str, status: int, answer: Any, *, submitted: bool) -> None:
-        """A user was given an answer about one job (status 0: none)."""
-        before = self.told.get(job_id)
+    def _check_waiting(self, used: dict[str, float]) -> None:
+        """No job waits while machines that fit have room and its team is under its limit."""
+        on = {t.split("/")[0] for w in self.workers.values() for t in w.tasks}
+        over = {task.split("/")[0] for task in self.completed}
+        for job_id, state in self.told.items():
+            spec = self.specs.get(job_id)
+            left = state not in ("done", "aborted") and job_id not in on | over | self.broken
+            if spec is None or not left or not self._could_begin(spec, used):
+                self.could_begin.pop(job_id, None)
+            elif self.now - self.could_begin.setdefault(job_id, self.now) > WAIT_S:
+                raise RuleBroken(f"waiting {job_id}: there is room for it")
+
+    def _could_begin(self, spec: dict[str, Any], used: dict[str, float]) -> bool:
+        """Its tasks, of an array one, find room on machines as they are."""
+        at_once = 1 if spec["shape"] == "sweep" else int(spec["hands"])
+        team = next(t for t in self.teams if t["name"] == spec["outfit"])
+        most = team["cpus_max"] or float("inf")
+        if used.get(team["name"], 0.0) + at_once * spec["vcpus"] > most + 1e-6:
+            return False
+        room: dict[str, int] = {}
+        for worker in self.workers.values():
+            info = worker.info
+            kind = next(t for t in TYPES if t["sku"] == info["breed"])
+            if (
+                (spec["breeds"] is not None and info["breed"] not in spec["breeds"])
+                or spec["range"] not in (None, info["range"])
+                or (info["borrowed"] and not spec["borrowed"])
+            ):
+                continue
+            have = [self.specs.get(t.split("/")[0]) for t in worker.tasks]
+            if any(other is None for other in have):
+                continue
+            times = [at_once]
+            for field in ("vcpus", "cards", "memoryGb"):
+                free = kind[field] - sum(other[field] for other in have if other)
+                if spec[field] > 0:
+                    times.append(int((free + 1e-6) // spec[field]))
+            room[info["range"]] = room.get(info["range"], 0) + max(0, min(times))
+        if spec["samePlace"]:
+            return max(room.values(), default=0) >= at_once
+        if spec["scatter"]:
+            room = {zone: min(n, (spec["hands"] + 1) // 2) for zone, n in room.items()}
+        return sum(room.values()) >= at_once
+
+    def answered(
+        self, job_id: str, status: int, answer: Any, *, submitted: bool, begun: int | None = None
+    ) -> None:
+        """A user was given an answer about one job (status 0: none). `begun`: the moment at which
+        it asked, if others asked meanwhile."""
+        told = self.since.get(job_id, [])
+        known = [state for moment, state in told if begun is None or moment < begun]
+        before = known[-1] if known else None
         if submitted:
             self.submitted.setdefault(job_id, self.now)
         if status in (200, 201):
@@ -130,10 +198,37 @@
             every = {f"{job_id}/{n}" for n in range(self.specs.get(job_id, {"hands": 1})["hands"])}
             if every - self.completed:
                 raise RuleBroken(f"not_done {job_id} lacks {len(every - self.completed)} tasks")
-        self.told[job_id] = state
+        if submitted and status == 201 and job_id in self.specs:
+            self._check_accepted(self.specs[job_id])
+        final = next((s for _, s in told if s in ("done", "aborted")), None)
+        if final is not None and state in ("done", "aborted") and state != final:
+            raise RuleBroken(f"went_back {job_id} from {final} to {state}")
+        if not told or (final is None and state in ("done", "aborted")):
+            self.since.setdefault(job_id, []).append((next(self.moments), state))
+        if final is None:
+            self.told[job_id] = state
         if state == "aborted":
             self.cancelled.setdefault(job_id, self.now)
 
+    def _check_accepted(self, spec: dict[str, Any]) -> None:
+        """Who accepts a job says that it can run, and that it lacks nothing."""
+        missing = FIELDS - set(spec)
+        team = next((t for t in self.teams if t["name"] == spec.get("outfit")), None)
+        if missing or team is None:
+            raise RuleBroken(f"accepted {spec['nameId']} lacks {sorted(missing) or 'a team'}")
+        fits = any(
+            spec["vcpus"] <= t["vcpus"]
+            and spec["cards"] <= t["cards"]
+            and spec["memoryGb"] <= t["memoryGb"]
+            and (spec["breeds"] is None or t["sku"] in spec["breeds"])
+            and spec["range"] in (None, *t["ranges"])
+            for t in TYPES
+        )
+        at_once = 1 if spec["shape"] == "sweep" else spec["hands"]
+        most = team["cpus_max"] or float("inf")
+        if not fits or at_once * spec["vcpus"] > most + 1e-6:
+            raise RuleBroken(f"accepted {spec['nameId']} can't run")
+
     def served(self, by: str = "herd") -> dict[str, float]:
         """Share of accepted jobs that weren't cancelled and began within four minutes (a gang or
         service with all its tasks), by class or, with `outfit`, team; the largest of each class, of
--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -53,6 +53,10 @@
         self.cut_links: set[tuple[str, str]] = set()
         # Machines whose reports arrive, while no answer or command reaches them.
         self.unreached: set[str] = set()
+        # Machines that reach no controller, while direct commands reach them.
+        self.mute: set[str] = set()
+        # Reports of these machines, as they were sent: `again` has them arrive once more.
+        self.overheard: dict[str, list[bytes]] = {}
         # After how long reports of these machines arrive once more, at whatever controller.
         self.copies: dict[str, list[float]] = {}
         # Controllers that stand still, and until when; the second kind has decided already, and
@@ -230,8 +234,10 @@
     ) -> None:
         if path == "/hello" and isinstance(body, dict):
             name = body["mount"]
-            if node in self.deaf or (name, node) in self.cut_links:
+            if node in self.deaf or (name, node) in self.cut_links or name in self.mute:
                 return
+            if name in self.overheard:
+                self.overheard[name].append(json.dumps(body).encode())
             for delay in self.copies.get(name, ()):
                 self.later(delay, lambda: self._copy(json.dumps(body).encode()))
             given, told = answer, name in self.unreached
@@ -244,9 +250,30 @@
 
     def _copy(self, raw: bytes) -> None:
         """A report arrives once more; whoever sent it has long had its answer."""
-        node = self.random.choice(self.controllers())
-        if node in self.owners:
-            self.inbox[node].append(Asked("POST", "/hello", raw, lambda status, body: None))
+        self.again(raw, [self.random.choice(self.controllers())])
+
+    def again(self, raw: bytes, nodes: list[str]) -> list[int]:
+        """A report arrives once more, at these controllers; the statuses of their answers."""
+        told: list[int] = []
+        for node in nodes:
+            if node in self.owners:
+                answer = lambda status, body: told.append(status or 0)  # noqa: E731
+                self.inbox[node].append(Asked("POST", "/hello", raw, answer))
+        return told
+
+    def look(self, node: str, method: str, path: str, body: Any = b"") -> None:
+        """A user's request beside others: its answer is held against what users had been told
+        before it was made."""
+        begun, told = next(self.moments), [False]
+
+        def answer(status: int | None, raw: bytes) -> None:
+            if not told[0]:
+                told[0] = True
+                got = json.loads(raw) if raw else None
+                job_id, new = self._about(path, body), path == "/api/jobs"
+                self.answered(job_id, status or 0, got, submitted=new, begun=begun)
+
+        self.ask(node, method, path, body, answer)
 
     def user(self, node: str, method: str, path: str, body: Any = b"") -> tuple[int, Any]:
         """A user's request, waited for."""
@@ -266,7 +293,11 @@
     @staticmethod
     def _about(path: str, body: Any) -> str:
         if path == "/api/jobs":
-            return str(body.get("nameId")) if isinstance(body, dict) else ""
+            try:
+                told = json.loads(body) if isinstance(body, bytes) else body
+            except ValueError:
+                return ""
+            return str(told.get("nameId")) if isinstance(told, dict) else ""
         return path.split("/")[3]
 
     def poll_all(self, gap_s: float = 5.0) -> None:
--- a/sagecove/protocol/users.py
+++ b/sagecove/protocol/users.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-JOB_ID = re.compile(r"run-[A-Za-z0-9_.-]{1,100}\Z")
+JOB_ID = re.compile(r"^run-[A-Za-z0-9_.-]{1,100}\Z")
 
 Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
@@ -44,11 +44,11 @@
 ):
     """A job as submitted."""
 
-    id: Annotated[str, msgspec.Meta(pattern=r"^run-[A-Za-z0-9_.-]{1,100}$")]
+    id: Annotated[str, msgspec.Meta(pattern=JOB_ID.pattern)]
     klass: Name
     team: Name
-    kind: Annotated[str, msgspec.Meta(pattern="^(sweep|ensemble|service)$")]
-    priority: Annotated[str, msgspec.Meta(pattern="^(production|urgent|normal|low)$")]
+    kind: Annotated[str, msgspec.Meta(pattern=r"^(sweep|ensemble|service)\Z")]
+    priority: Annotated[str, msgspec.Meta(pattern=r"^(production|urgent|normal|low)\Z")]
     tasks: Annotated[int, msgspec.Meta(ge=1, le=100_000)]
     cpus: Amount
     gpus: Amount
--- a/sagecove/protocol/workers.py
+++ b/sagecove/protocol/workers.py
@@ -59,7 +59,7 @@
 ):
     """A worker's report."""
 
-    machine: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_.-]{1,120}$")]
+    machine: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_.-]{1,120}\Z")]
     addr: Annotated[str, msgspec.Meta(max_length=100)]
     type: str
     zone: str
--- a/sagecove/sweeps/admission.py
+++ b/sagecove/sweeps/admission.py
@@ -46,7 +46,7 @@
     """A new sweep of the points of another that ended so."""
 
     id: str
-    states: list[Annotated[str, msgspec.Meta(pattern="^(failed|cancelled)$")]] = msgspec.field(
+    states: list[Annotated[str, msgspec.Meta(pattern=r"^(failed|cancelled)\Z")]] = msgspec.field(
         default_factory=lambda: ["failed"]
     )
 
--- a/sagecove/sweeps/records.py
+++ b/sagecove/sweeps/records.py
@@ -43,15 +43,15 @@
     return (match[1], int(match[2])) if match and JOB_ID.match(job_id) else None
 
 
-Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z_][A-Za-z0-9_]{0,39}$")]
-TemplateName = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9_-]{0,59}$")]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z_][A-Za-z0-9_]{0,39}\Z")]
+TemplateName = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9_-]{0,59}\Z")]
 
 
 class Parameter(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
     """A template's parameter. `kind`: `whole`, `number`, `text` or `flag`."""
 
     name: Name
-    kind: Annotated[str, msgspec.Meta(pattern="^(whole|number|text|flag)$")]
+    kind: Annotated[str, msgspec.Meta(pattern=r"^(whole|number|text|flag)\Z")]
     unit: str = ""
     about: str = ""
     default: Value | None = None
