--- /dev/null
+++ b/tests/test_lost_answers.py
@@ -0,0 +1,198 @@
+"""Transactions that are carried out at once while only their answer is lost: other controllers read
+what was written, claim, start, cancel and tell by it, while the sender still thinks in the old way.
+World's rules are checked all along; docs/meetings.md has the table."""
+
+from typing import Any
+
+import pytest
+
+from sagecove.lab.deployment import LEASE_S, job
+from sagecove.lab.world import World, standing, with_machines
+from tests.test_known import commits, persist
+from tests.test_late_writes import fresh, story
+from tests.test_sweeps import inline, view
+from tests.test_sweeps import world as sweeping
+
+
+def lives_on(w: World, node: str) -> None:
+    pass
+
+
+def stands_still(w: World, node: str) -> None:
+    w.still[node] = w.now + 0.7 * LEASE_S
+
+
+def stands_still_for_long(w: World, node: str) -> None:
+    w.still[node] = w.now + 1.3 * LEASE_S
+
+
+def is_back_at_once(w: World, node: str) -> None:
+    w.owners.pop(node, None)
+    w.later(0.3, lambda: None if node in w.owners else w.boot_node(int(node[1:])))
+
+
+def ends(w: World, node: str) -> None:
+    w.owners.pop(node, None)
+    w.later(LEASE_S, lambda: None if node in w.owners else w.boot_node(int(node[1:])))
+
+
+def is_refused(w: World, node: str) -> None:
+    w.state.refused.add(node)
+    w.later(0.6 * LEASE_S, w.state.refused.clear)
+
+
+SENDERS = [lives_on, stands_still, stands_still_for_long, is_back_at_once, ends, is_refused]
+
+
+@pytest.mark.parametrize("sender", SENDERS)
+@pytest.mark.parametrize("pair", [False, True])
+def test_each_transactions_answer_is_lost_while_others_read_it(pair: bool, sender: Any) -> None:
+    every = commits(fresh(), story)
+    assert every > 30
+    # Each one alone while its sender lives on; some with another failure beside it.
+    for point in range(0, every, 1 if sender is lives_on and not pair else 6):
+        w, seen = fresh(), [0]
+
+        def lost(
+            node: str, body: dict[str, Any], w: World = w, seen: list[int] = seen, at: int = point
+        ) -> str | None:
+            seen[0] += 1
+            if seen[0] - 1 not in ((at, at + 1) if pair else (at,)):
+                return None
+            w.later(0.0, lambda: sender(w, node))
+            return "unanswered"
+
+        w.state.hook = lost
+        w.poll_all()
+        story(w)
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("share", [0.2, 0.5, 0.8])
+def test_a_share_of_all_answers_is_lost(share: float, seed: int) -> None:
+    w = fresh()
+    w.random.seed(seed)
+    w.state.hook = lambda node, body: "unanswered" if w.random.random() < share else None
+    w.poll_all()
+    story(w)
+
+
+# -- sweeps and templates ------------------------------------------------------------------------
+
+
+def sweep_story(w: World) -> None:
+    """A template, a sweep of it whose points run to their end, one of two tasks a point that is
+    cancelled, a point cancelled by itself; all is told alike everywhere."""
+    for worker in w.workers.values():
+        worker.run_s = None
+    template = {
+        "name": "tiny",
+        "parameters": [{"name": "x", "kind": "whole"}],
+        "job": inline(vcpus=0.5),
+    }
+    persist(w, "POST", "/api/templates", template)
+    persist(
+        w,
+        "POST",
+        "/api/sweeps",
+        {"id": "run-s", "space": "x in 1..12", "template": "tiny", "version": 1},
+    )
+    two = {"id": "run-t", "space": "x in 1..6", "job": inline(vcpus=0.5, hands=2, reckonS=900.0)}
+    persist(w, "POST", "/api/sweeps", two)
+    w.run(1.5)
+    persist(w, "POST", "/api/jobs/run-t.p3/cancel")
+    persist(w, "POST", "/api/sweeps/run-t/cancel")
+    w.until(lambda: sum(t.startswith("run-s.p") for t in w.completed) == 12, 120)
+    w.calm_at = w.now
+    for node in sorted(w.owners):
+        w.until(lambda node=node: view(w, "run-s", node)["state"] == "done", 60)
+        w.until(lambda node=node: view(w, "run-t", node)["state"] == "aborted", 60)
+        w.until(lambda node=node: standing(w, node, "run-s.p5") == "done", 30)
+        w.until(lambda node=node: standing(w, node, "run-t.p3") == "aborted", 30)
+    w.run(14)
+    for node in sorted(w.owners):
+        assert view(w, "run-s", node)["done"] == 12
+        assert view(w, "run-t", node)["state"] == "aborted"
+    left = ("s/job/", "s/sweep", "s/points", "s/swept")
+    w.until(lambda: not [key for key in w.state.keys if key.startswith(left)], 30)
+    once = [task for _, task, _ in w.starts if task.startswith("run-s.p")]
+    assert set(once) == {f"run-s.p{k}/0" for k in range(12)}
+
+
+@pytest.mark.parametrize("sender", [lives_on, stands_still_for_long, is_back_at_once, ends])
+@pytest.mark.parametrize("verdict", ["unanswered", "late"])
+def test_each_transaction_of_sweeps_goes_astray(verdict: str, sender: Any) -> None:
+    every = commits(sweeping(), sweep_story)
+    assert every > 12
+    for point in range(0, every, 1 if sender is lives_on else 4):
+        w, seen = sweeping(), [0]
+
+        def astray(
+            node: str, body: dict[str, Any], w: World = w, seen: list[int] = seen, at: int = point
+        ) -> str | None:
+            seen[0] += 1
+            if seen[0] - 1 != at:
+                return None
+            w.later(0.0, lambda: sender(w, node))
+            return verdict
+
+        w.state.hook = astray
+        sweep_story(w)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("verdicts", [["unanswered"], ["late"], ["unanswered", "late", "lost"]])
+def test_half_of_all_transactions_of_sweeps_go_astray(verdicts: list[str], seed: int) -> None:
+    w = sweeping(seed=seed + 1)
+    w.state.hook = lambda node, body: w.random.choice([*verdicts, *[None] * len(verdicts)])
+    sweep_story(w)
+
+
+# -- what is given back or handed over ------------------------------------------------------------
+
+
+def blind(w: World, name: str, seconds: float) -> None:
+    """A controller's reads of changes stop for so long; its transactions go on."""
+    owner = w.owners[name]
+    reads = owner.sync.sync_if_due, owner.sync.watch
+    owner.sync.sync_if_due = owner.sync.watch = lambda now: None  # type: ignore[method-assign]
+    w.state.watches = [watch for watch in w.state.watches if watch[0] != name]
+    owner.sync.watching = False
+
+    def sees() -> None:
+        owner.sync.sync_if_due, owner.sync.watch = reads  # type: ignore[method-assign]
+
+    w.later(seconds, sees)
+
+
+@pytest.mark.parametrize("blind_s", [0.0, 1.0, 3.0, 5.0])
+def test_claims_given_back_without_an_answer_are_others_at_once(blind_s: float) -> None:
+    w = with_machines(6)
+    for worker in w.workers.values():
+        worker.run_s = 500.0
+    w.submit("n0", job(1, hands=4))
+    w.until(lambda: w.running("run-000001") == 4, 40)
+    name = max(w.owners, key=lambda n: len(w.owners[n].jobs["run-000001"].placed))
+    owner = w.owners[name]
+    run, shard = owner.jobs["run-000001"], owner.held[name]
+    index, placement = next(iter(run.placed.items()))
+    w.workers[placement.machine.name].exit(placement.task, placement.attempt, "stopped")
+    w.until(lambda: index not in run.placed or not run.placed[index].live, 5)
+    run.hold_until = w.now + 60.0
+    w.until(lambda: bool(run.placeable(name)), 10)
+    lost: list[str] = []
+
+    def hook(node: str, body: dict[str, Any]) -> str | None:
+        if lost or not any("s/job/" in change.get("put", "") for change in body["then"]):
+            return None
+        lost.append(node)
+        # The sender would place the tasks at once if it took this for refused.
+        run.hold_until = 0.0
+        return "unanswered"
+
+    w.state.hook = hook
+    if blind_s:
+        blind(w, name, blind_s)
+    owner.claims.releasing.release(w.now, run, shard)
+    w.run(25)
+    assert lost == [name] and w.running("run-000001") == 4
