--- a/sagecove/lab/models.py
+++ b/sagecove/lab/models.py
@@ -322,6 +322,8 @@
         self.pace = 1.0
         # Seconds that tasks take here; None: what their owners reckon.
         self.run_s: float | None = 5.0
+        # Seconds until it has a task's image.
+        self.fetch_s = 0.0
         self.warning: float | None = None
         self.fails = False
         self.changed_at = 0.0
@@ -462,6 +464,16 @@
                 return
             if spec is None:
                 mine["standing"], mine["cause"] = "exited", "unknown"
+            elif self.fetch_s:
+                self.world.later(self.fetch_s, lambda: begin(spec))
+            else:
+                begin(spec)
+
+        def begin(spec: dict[str, Any]) -> None:
+            if self.tasks.get(task) is not mine or mine["standing"] != "pulling" or self.dead:
+                return
+            self.check_lease()
+            if self.tasks.get(task) is not mine:
                 return
             gang = spec["shape"] == "ensemble"
             mine["standing"], mine["spec"] = "waiting" if gang else "running", spec
