--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -299,9 +299,9 @@
         # When it may be marked for its return once more.
         self.leave_at = -1e9
         # When a peer last heard of it, and our dealings with it as a machine of another's shard.
-        self.elsewhere_at = -1e9
-        self.redirected_at = -1e9
-        self.stranger_at = -1e9
+        self.elsewhere_at = self.redirected_at = self.stranger_at = -1e9
+        # The newest report (session, number) that came here though another holds the machine.
+        self.stranger_order = (0, 0)
         self.relaying = False
         # The provisioner would return it: until then no tasks of arrays are placed on it.
         self.drain_until = -1e9
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -100,7 +100,7 @@
             holder = owner.shards.holder_of(machine.record.shard)
             if holder is None and not relayed:
                 # Its lease has lapsed, and somebody is about to take the shard.
-                self._park(machine, exchange)
+                self._park(machine, report, exchange)
             elif holder != owner.settings.node and holder is not None and not relayed:
                 self._elsewhere(machine, holder, report, body, exchange)
             else:
@@ -162,7 +162,7 @@
         if silent and hint is not None and (back or owner.peers.heard(holder, machine.name)):
             # The holder is silent and the worker has come from there: until the shard is taken,
             # going back would cost it a timeout, and with a second one its lease and its tasks.
-            self._park(machine, exchange)
+            self._park(machine, report, exchange)
             return
         if not reachable and now - owner.sync.synced_at > owner.leadership.length:
             # Who holds the shard by now is not known here. Two controllers that were alone sent
@@ -171,7 +171,9 @@
             return
         if machine.relaying and now - machine.stranger_at < self.pace.lease_s:
             back = True
-        machine.stranger_at = now
+        if not self._passes_by(machine, report):
+            owner.effects.append(Reply(exchange, 421, w.Redirect(holder)))
+            return
         if addr is None or not reachable or not back:
             machine.relaying = False
             machine.redirected_at = now
@@ -189,13 +191,23 @@
         # Raw: the report goes on as it came.
         owner.call(addr, "POST", "/relay", msgspec.Raw(body), self.call_s / 2, done)
 
-    def _park(self, machine: Machine, exchange: object) -> None:
+    def _passes_by(self, machine: Machine, report: w.Report) -> bool:
+        """Another's machine is there, and can't reach its holder. A late copy says nothing of the
+        kind: copies kept machines that had died from being returned."""
+        order = report.session, report.seq
+        if order <= machine.stranger_order:
+            return False
+        machine.stranger_order = order
+        machine.stranger_at = self.owner.now
+        return True
+
+    def _park(self, machine: Machine, report: w.Report, exchange: object) -> None:
         """Nobody can answer a worker at the moment: send it to a controller that is alive, so that
         it is not at a silent one when its shard is taken."""
         owner = self.owner
         now = owner.now
         machine.relaying = False
-        machine.stranger_at = now
+        self._passes_by(machine, report)
         live = sorted(n for n, (at, _) in owner.peers.hints.items() if now - at < HINT_FRESH_S)
         if live:
             owner.effects.append(Reply(exchange, 421, w.Redirect(owner.random.choice(live))))
--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -53,6 +53,8 @@
         self.cut_links: set[tuple[str, str]] = set()
         # Machines whose reports arrive, while no answer or command reaches them.
         self.unreached: set[str] = set()
+        # What each message between controllers and workers takes on its way, beside the usual.
+        self.link_s = 0.0
         # Machines that reach no controller, while direct commands reach them.
         self.mute: set[str] = set()
         # Reports of these machines, as they were sent: `again` has them arrive once more.
@@ -202,7 +204,7 @@
         else:
             if name in self.deaf and call.target.startswith("10.9."):
                 return
-            self.later(0.002, lambda: self._deliver_addr(call, raw, answer))
+            self.later(0.002 + self.link_s, lambda: self._deliver_addr(call, raw, answer))
 
     def _deliver_addr(self, call: Call, raw: Any, answer: Answer) -> None:
         for worker in self.workers.values():
@@ -242,6 +244,14 @@
                 self.later(delay, lambda: self._copy(json.dumps(body).encode()))
             given, told = answer, name in self.unreached
             answer = lambda status, raw: None if told else given(status, raw)  # noqa: E731
+            if self.link_s:
+                slow = json.dumps(body).encode()
+                self.later(self.link_s, lambda: self.ask_now(node, method, path, slow, answer))
+                return
+        self.ask_now(node, method, path, body, answer)
+
+    def ask_now(self, node: str, method: str, path: str, body: Any, answer: Answer) -> None:
+        """A request arrives, or finds nobody."""
         if node in self.owners:
             raw = body if isinstance(body, bytes) else json.dumps(body).encode()
             self.inbox[node].append(Asked(method, path, raw, answer))
@@ -269,12 +279,19 @@
         def answer(status: int | None, raw: bytes) -> None:
             if not told[0]:
                 told[0] = True
-                got = json.loads(raw) if raw else None
-                job_id, new = self._about(path, body), path == "/api/jobs"
-                self.answered(job_id, status or 0, got, submitted=new, begun=begun)
+                self.heard(path, body, status, raw, begun)
 
         self.ask(node, method, path, body, answer)
 
+    def heard(
+        self, path: str, body: Any, status: int | None, raw: bytes, begun: int | None = None
+    ) -> Any:
+        """A user was given this answer about a job: the rules hear of it."""
+        told = json.loads(raw) if raw else None
+        about, new = self._about(path, body), path == "/api/jobs"
+        self.answered(about, status or 0, told, submitted=new, begun=begun)
+        return told
+
     def user(self, node: str, method: str, path: str, body: Any = b"") -> tuple[int, Any]:
         """A user's request, waited for."""
         got: list[tuple[int, Any]] = []
