--- a/tests/test_further_meetings.py
+++ b/tests/test_further_meetings.py
@@ -52,6 +52,43 @@
         assert w.running(ONE) == 0
 
 
+@pytest.mark.parametrize("first", ["end", "cancellation"])
+@pytest.mark.parametrize("nodes", [3, 5])
+def test_the_end_and_a_cancellation_cross_at_the_state_service(nodes: int, first: str) -> None:
+    w = machines(World(nodes=nodes), 2 * nodes)
+    for worker in w.workers.values():
+        worker.run_s = 3.0
+    w.submit("n0", job(1, hands=2, vcpus=1.0, memoryGb=1.0))
+    held: list[dict[str, Any]] = []
+
+    def hook(node: str, body: dict[str, Any]) -> str | None:
+        state = next((c["v"] for c in body["then"] if c.get("put") == f"o/{ONE}"), None)
+        if state is None:
+            return None
+        if not held:
+            # The end is under way; whoever asks is told that it runs.
+            held.append(body)
+            return "lost"
+        if len(held) == 1 and body["then"] != held[0]["then"]:
+            held.append(body)
+            if first == "end":
+                assert w.state.commit(held[0])[0] == 200
+            else:
+                w.later(0.5, lambda: (w.state.commit(held[0]), None)[1])
+            return None
+        return None if len(held) > 1 else "lost"
+
+    w.state.hook = hook
+    w.until(lambda: bool(held), 20)
+    for node in sorted(w.owners):
+        w.look(node, "POST", f"/api/jobs/{ONE}/cancel")
+    w.run(1.0)
+    for _ in range(5):
+        told = {standing(w, node, ONE) for node in w.owners}
+        assert told == ({"done"} if first == "end" else {"aborted"})
+        w.run(1.0)
+
+
 # -- more work than room over slow links ----------------------------------------------------------
 
 
--- a/tests/test_trouble_machine.py
+++ b/tests/test_trouble_machine.py
@@ -35,7 +35,6 @@
         self.w.run(5)
         self.w.poll_all()
         self.count = 0
-        self.services: list[str] = []
 
     def worker(self, number: int) -> Any:
         names = sorted(self.w.workers)
@@ -44,9 +43,7 @@
     @rule(node=NODES, shape=st.sampled_from(SHAPES))
     def submit(self, node: str, shape: dict[str, Any]) -> None:
         self.count += 1
-        status, _ = self.w.submit(node, job(self.count, **shape))
-        if status in (200, 201) and shape.get("shape") == "service":
-            self.services.append(f"run-{self.count:06d}")
+        self.w.submit(node, job(self.count, **shape))
 
     @rule(node=NODES, back_s=st.sampled_from([0.05, 0.3, 0.9, 7.0]))
     def end_and_return(self, node: str, back_s: float) -> None:
@@ -99,8 +96,63 @@
     def the_state_service_is_slow(self, slow_s: float) -> None:
         self.w.state.slow_s = slow_s
 
+    @rule(number=st.integers(0, 8))
+    def a_machine_reaches_no_controller(self, number: int) -> None:
+        if (worker := self.worker(number)) is not None:
+            self.w.mute.add(worker.name)
+
+    @rule(number=st.integers(0, 8))
+    def a_report_is_kept(self, number: int) -> None:
+        if (worker := self.worker(number)) is not None:
+            self.w.overheard.setdefault(worker.name, [])
+
+    @rule(newest=st.booleans())
+    def kept_reports_reach_every_controller(self, newest: bool) -> None:
+        for raws in self.w.overheard.values():
+            for raw in raws[-1:] if newest else raws[:1]:
+                self.w.again(raw, sorted(self.w.owners))
+        self.w.overheard.clear()
+
+    @rule(node=NODES, hang_s=st.sampled_from([0.0, 3.0, 0.8 * LEASE_S]))
+    def many_are_cancelled_and_their_machines_hang(self, node: str, hang_s: float) -> None:
+        running = [name for name, state in self.w.told.items() if self.w.running(name)]
+        for n, name in enumerate(running):
+            path = f"/api/jobs/{name}/cancel"
+            self.w.later(0.2 * n / len(running), lambda p=path: self.w.look(node, "POST", p))
+        for worker in [v for v in self.w.workers.values() if v.live()][:8] if hang_s else []:
+            worker.cut = worker.cut_direct = True
+            self.w.later(hang_s, worker.go_on)
+        self.w.run(0.3)
+
+    @rule(number=st.integers(1, 9), repeat=st.booleans())
+    def users_look_closely(self, number: int, repeat: bool) -> None:
+        name = f"run-{number:06d}"
+        for node in sorted(self.w.inbox):
+            self.w.look(node, "GET", f"/api/jobs/{name}")
+            if repeat and name in self.w.specs:
+                self.w.look(node, "POST", "/api/jobs", self.w.specs[name])
+        self.w.run(0.06)
+
+    @rule(seconds=st.sampled_from([0.3, 2.0]))
+    def answers_take_their_own_time(self, seconds: float) -> None:
+        random = self.w.random
+        self.w.state.answer_after = lambda node, path: (
+            random.choice([0.0, random.random()]) * seconds
+        )
+
+    @rule(seconds=st.sampled_from([0.0, 0.5, 2.0]))
+    def machines_boot_at_once(self, seconds: float) -> None:
+        self.w.cloud.boot_s, self.w.cloud.capacity["small"] = seconds, 11
+
+    @rule(seconds=st.sampled_from([0.3, 3.0]))
+    def images_take_time(self, seconds: float) -> None:
+        for worker in self.w.workers.values():
+            worker.fetch_s = seconds
+
     @rule()
     def mend(self) -> None:
+        self.w.mute.clear()
+        self.w.state.answer_after = None
         for worker in self.w.workers.values():
             worker.go_on()
         self.w.state.slow_s = 0.0
@@ -137,14 +189,16 @@
             if f"n{number}" not in self.w.owners:
                 self.w.boot_node(number)
         self.w.calm_at = self.w.now
-        for name in self.services:
+        # One whose submission had no answer may have been accepted by a repetition since.
+        services = [j for j in self.w.told if self.w.specs[j]["shape"] == "service"]
+        for name in services:
             begun = self.w.now
             while self.w.user("n0", "POST", f"/api/jobs/{name}/cancel")[0] != 200:
                 assert self.w.now - begun < 75
                 self.w.run(1)
         # A cancellation without an answer may still be carried out, 15 s later at most.
         self.w.run(16)
-        unsure = [j for j in self.w.told if j not in self.services]
+        unsure = [j for j in self.w.told if j not in services]
         for name in unsure:
             begun = self.w.now
             while self.w.user("n0", "GET", f"/api/jobs/{name}")[0] != 200:
