--- a/tests/test_old_reports.py
+++ b/tests/test_old_reports.py
@@ -137,3 +137,26 @@
     w.until(lambda: victim.name in w.cloud.deleted, 5 * LEASE_S)
     w.run(LEASE_S)
     assert all(victim.name not in o.machines for o in w.owners.values())
+
+
+def test_an_old_report_of_a_machine_that_is_gone_brings_it_back_nowhere() -> None:
+    # Whoever begins does not remember that it is gone: it asks the machine.
+    w = world([])
+    victim = next(worker for worker in w.workers.values() if worker.tasks)
+    w.overheard[victim.name] = []
+    w.run(3 * REPORT_S)
+    raws = w.overheard.pop(victim.name)
+    victim.dead, victim.tasks = True, {}
+    w.cloud.capacity["small"] = 10
+    w.until(lambda: victim.name in w.cloud.deleted, 8 * LEASE_S)
+    w.until(lambda: f"s/machine/{victim.name}" not in w.state.keys, 30)
+    w.workers[victim.name] = victim
+    for n in range(3):
+        w.kill(f"n{n}")
+        w.boot_node(n)
+    for _ in range(40):
+        w.run(0.25)
+        for raw in raws:
+            w.again(raw, sorted(w.owners))
+        assert f"s/machine/{victim.name}" not in w.state.keys
+    assert all(victim.name not in o.machines for o in w.owners.values())
