--- a/sagecove/coordination/claims/competing.py
+++ b/sagecove/coordination/claims/competing.py
@@ -171,9 +171,11 @@
                 able = min(able, count + self._part(now, job, shard.name))
                 count += self.making.could_make(job, able - count, promised)
         if not count or (job.whole and count < wanted):
+            # Asked for first: what is gathered for the gang itself looks taken. One whose machines
+            # were there only after it had begun to gather never asked for its part of the limit.
+            self._ask(now, shard.name, job, machines, promised)
             if job.gang:
                 self._gather(job, shard, wanted, machines, promised)
-            self._ask(now, shard.name, job, machines, promised)
             return
         if count < wanted:
             self._ask(now, shard.name, job, machines, promised, min(count, planned))
--- a/sagecove/coordination/provision.py
+++ b/sagecove/coordination/provision.py
@@ -102,8 +102,31 @@
         key = (machine.kind.name, machine.zone, machine.spot, machine.shard, machine.gangs)
         self.groups.setdefault(key, []).append(machine)
 
-    def fill(self, spec: Job, count: int, shard: str | None, zones: dict[str, int]) -> int:
-        """Give tasks room; how many got it. `zones` counts the job's tasks by zone."""
+    def zone_with_most(self, spec: Job, shard: str | None) -> str | None:
+        """Where a job whose tasks must be in one zone has most room to come, if anywhere."""
+        room: dict[str, int] = {}
+        for (_, zone, spot, home, gangs), group in self.groups.items():
+            if (
+                group
+                and (spec.kind == GANG or not gangs)
+                and (shard is None or home in ("", shard))
+                and (spec.spot or not spot)
+                and type_allowed(spec, group[0].kind)
+            ):
+                room[zone] = room.get(zone, 0) + sum(m.room(spec) for m in group)
+        most = max(room, key=lambda zone: room[zone], default=None)
+        return most if most is not None and room[most] else None
+
+    def fill(
+        self,
+        spec: Job,
+        count: int,
+        shard: str | None,
+        zones: dict[str, int],
+        only: str | None = None,
+    ) -> int:
+        """Give tasks room (in one zone `only`); how many got it. `zones` counts the job's tasks by
+        zone."""
         placed = 0
         cap = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
         for (_, zone, spot, home, gangs), group in self.groups.items():
@@ -112,7 +135,7 @@
                 or (gangs and spec.kind != GANG)
                 or (shard is not None and home not in ("", shard))
                 or (spot and not spec.spot)
-                or spec.zone not in (None, zone)
+                or (only or spec.zone) not in (None, zone)
                 or not type_allowed(spec, group[0].kind)
             ):
                 continue
@@ -492,9 +515,16 @@
         spec = job.spec
         zones = zone_counts(job)
         cap = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
-        count -= coming.fill(spec, count, shard, zones)
+        # What is rented for a gang that must be in one zone goes where the rest of it is. Replacing
+        # one of its machines in another zone helped nobody.
+        only = None
+        if spec.one_zone and spec.zone is None and spec.tasks > 1:
+            only = next(iter(zones), None) or coming.zone_with_most(spec, shard)
+        count -= coming.fill(spec, count, shard, zones, only)
         base = self.owner.inventory.base_price
         options = self.options(job, now) if count > 0 else []
+        # Where there is no more to be had, all of it has to go elsewhere, as for a new one.
+        options = [o for o in options if only in (None, o[2])] or options
         options = [o for o in options if dearness(o[1], o[3], base) <= dearest]
         while count > 0:
             choice = next((o for o in options if zones.get(o[2], 0) < cap), None)
--- a/sagecove/coordination/upkeep.py
+++ b/sagecove/coordination/upkeep.py
@@ -72,7 +72,14 @@
                 warm = not group[0].record.spot and self.learning.services_expected(1.5 * patience)
                 keep = self._keep(kind, machines) if warm else 0
                 keep = max(keep, self._for_tries(group[0]))
-                for machine in group[keep:]:
+                # Those that are up wait for as long as the others of their gang may yet come up.
+                # Else, of eight machines, those that were there first had been given back when the
+                # last one came, and were rented again: a gang waited so to the end of its day.
+                gangs = self._for_gangs(name, group[0])
+                until_up = self.learning.boot_most_s(kind) if gangs else 0.0
+                for rank, machine in enumerate(group[keep:]):
+                    if rank < gangs and now - machine.idle_since <= until_up:
+                        continue
                     age = self.desk.wall() - machine.record.at
                     # A machine that is deleted costs 60 s at least: it may as well wait as long.
                     drained = now < machine.drain_until and now - machine.idle_since > 2.0
@@ -91,6 +98,23 @@
                 most = max(most, -(-job.spec.tasks // fit) if job.whole else 1)
         return most
 
+    def _for_gangs(self, shard: str, machine: Machine) -> int:
+        """Machines like this one that gangs take which wait for room in its shard."""
+        kind = machine.kind
+        assert kind is not None
+        count = 0
+        for job in self.backlog.active.values():
+            if (
+                job.gang
+                and not job.placed
+                and not job.blamed
+                and machine_allowed(job.spec, machine)
+                and (shard in job.claims or (job.unclaimed and self.shards.home(job) == shard))
+            ):
+                fit = max(1, slots(job.spec, (kind.cpus, kind.gpus, kind.memory_gb)))
+                count += -(-job.spec.tasks // fit)
+        return count
+
     def _patience(self, kind: MachineType) -> float:
         """How long a machine may idle: longer where jobs come that need one of its own, since
         those would have to wait for a boot."""
--- a/sagecove/lab/models.py
+++ b/sagecove/lab/models.py
@@ -243,6 +243,8 @@
         self.capacity = {"small": 50, "gpu": 4}
         self.never_boot = 0
         self.boot_s = 10.0
+        # Seconds that one machine takes to boot, by its number; None: `boot_s`.
+        self.boots: Callable[[int], float] | None = None
         # Where a machine of this name will listen.
         self.address: Callable[[str], str] = lambda name: f"10.9.0.{int(name[3:]) + 1}:9"
         self.lag_s = 4.0
@@ -264,6 +266,8 @@
         if self.never_boot > 0:
             self.never_boot -= 1
         else:
+            if boot and self.boots is not None:
+                boot = self.boots(self.number)
             self.world.later(boot, lambda: self.world.boot(name))
         return name
 
--- a/tests/test_largest.py
+++ b/tests/test_largest.py
@@ -5,7 +5,7 @@
 import pytest
 
 from sagecove.lab.deployment import job
-from sagecove.lab.world import World
+from sagecove.lab.world import World, standing
 from tests.test_limits import started, team
 
 MOST_S = 240.0
@@ -125,3 +125,23 @@
     w.run(30)
     w.submit("n0", job(1, **{**GANG, **fields}, hands=200))
     w.until(lambda: started(w, 1) > 0, MOST_S)
+
+
+@pytest.mark.parametrize("nodes", [3, 5])
+@pytest.mark.parametrize("late_s", [50.0, 75.0, 100.0])
+def test_machines_that_are_up_wait_for_the_others_of_their_gang(late_s: float, nodes: int) -> None:
+    # meet-cancel-now: of eight machines one or two took long to boot, and the others had been given
+    # back as idle by then, and rented again: so it went on for eleven minutes, until the day's end.
+    w = World(nodes=nodes)
+    w.cloud.capacity = {"small": 0, "gpu": 6}
+    w.cloud.boots = lambda number: late_s if number % 4 == 3 else 12.0
+    w.run(3)
+    spec = {"shape": "ensemble", "rank": "urgent", "vcpus": 12.0, "memoryGb": 40.0, "cards": 3.0}
+    for worker in w.workers.values():
+        worker.run_s = 20.0
+    w.submit("n0", job(1, hands=4, samePlace=True, **spec))
+    w.until(lambda: w.running("run-000001") == 4, late_s + 30)
+    # Each of them was rented once, and goes back when it is over.
+    assert len(w.cloud.requests) <= 2 and w.cloud.number <= 5
+    w.until(lambda: standing(w, "n0", "run-000001") == "done", 60)
+    w.until(lambda: not w.cloud.machines, 150)
