--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -342,8 +342,6 @@
         machine.heard_at = now
         if not machine.ever_heard:
             owner.learning.came_up(machine)
-            # Not before: one that took long to boot was given back as it came up.
-            machine.idle_since = now
         machine.ever_heard = True
         if report.notice_s is not None and not machine.notice:
             log.info("spot notice machine=%s", machine.name)
