--- a/sagecove/coordination/upkeep.py
+++ b/sagecove/coordination/upkeep.py
@@ -99,7 +99,8 @@
         return most
 
     def _for_gangs(self, shard: str, machine: Machine) -> int:
-        """Machines like this one that gangs take which wait for room in its shard."""
+        """Machines like this one that gangs of whole machines take which wait for room in its
+        shard."""
         kind = machine.kind
         assert kind is not None
         count = 0
@@ -109,7 +110,7 @@
                 and not job.placed
                 and not job.blamed
                 and machine_allowed(job.spec, machine)
-                and (shard in job.claims or (job.unclaimed and self.shards.home(job) == shard))
+                and (shard in job.claims or self.shards.gang_home(job) == shard)
             ):
                 fit = max(1, slots(job.spec, (kind.cpus, kind.gpus, kind.memory_gb)))
                 count += -(-job.spec.tasks // fit)
