--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from sagecove.coordination.model import JobRun, Shard
+from sagecove.coordination.owner import Owner
 from sagecove.lab.deployment import LEASE_S, job
 from sagecove.lab.world import World, standing, with_machines
 from tests.test_known import commits, persist
@@ -200,11 +202,8 @@
         assert standing(w, node, "run-000001") == "done"
 
 
-@pytest.mark.parametrize("repeated", ["conflict", "refused"])
-def test_a_release_carried_out_late_is_not_placed_before_it_is_seen(repeated: str) -> None:
-    # meet-slow-state: held up by a cut, a release was carried out as the cut ended, just before its
-    # own repetition, whose conflict was taken for the end of the doubt: the mirror still had the
-    # claim, and the tasks began here as well as where they were claimed next.
+def stopped() -> tuple[World, Owner, JobRun, Shard]:
+    """A task of an array was stopped; its claim is about to be given back."""
     w = with_machines(6)
     for worker in w.workers.values():
         worker.run_s = 500.0
@@ -212,12 +211,22 @@
     w.until(lambda: w.running("run-000001") == 4, 40)
     name = max(w.owners, key=lambda n: len(w.owners[n].jobs["run-000001"].placed))
     owner = w.owners[name]
-    run, shard = owner.jobs["run-000001"], owner.held[name]
+    run = owner.jobs["run-000001"]
     index, placement = next(iter(run.placed.items()))
     w.workers[placement.machine.name].exit(placement.task, placement.attempt, "stopped")
     w.until(lambda: index not in run.placed or not run.placed[index].live, 5)
     run.hold_until = w.now + 60.0
     w.until(lambda: bool(run.placeable(name)), 10)
+    return w, owner, run, owner.held[name]
+
+
+@pytest.mark.parametrize("repeated", ["conflict", "refused"])
+def test_a_release_carried_out_late_is_not_placed_before_it_is_seen(repeated: str) -> None:
+    # meet-slow-state: held up by a cut, a release was carried out as the cut ended, just before its
+    # own repetition, whose conflict was taken for the end of the doubt: the mirror still had the
+    # claim, and the tasks began here as well as where they were claimed next.
+    w, owner, run, shard = stopped()
+    name = shard.name
     kept: list[dict[str, Any]] = []
 
     def astray(node: str, body: dict[str, Any]) -> str | None:
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from sagecove.lab.deployment import LEASE_S, job
-from sagecove.lab.world import World, standing, with_machines
+from sagecove.lab.deployment import LEASE_S
+from sagecove.lab.world import World, standing
 from tests.test_known import commits, persist
-from tests.test_late_writes import fresh, story
+from tests.test_late_writes import fresh, stopped, story
 from tests.test_sweeps import inline, view
 from tests.test_sweeps import world as sweeping
 
@@ -167,19 +167,8 @@
 
 @pytest.mark.parametrize("blind_s", [0.0, 1.0, 3.0, 5.0])
 def test_claims_given_back_without_an_answer_are_others_at_once(blind_s: float) -> None:
-    w = with_machines(6)
-    for worker in w.workers.values():
-        worker.run_s = 500.0
-    w.submit("n0", job(1, hands=4))
-    w.until(lambda: w.running("run-000001") == 4, 40)
-    name = max(w.owners, key=lambda n: len(w.owners[n].jobs["run-000001"].placed))
-    owner = w.owners[name]
-    run, shard = owner.jobs["run-000001"], owner.held[name]
-    index, placement = next(iter(run.placed.items()))
-    w.workers[placement.machine.name].exit(placement.task, placement.attempt, "stopped")
-    w.until(lambda: index not in run.placed or not run.placed[index].live, 5)
-    run.hold_until = w.now + 60.0
-    w.until(lambda: bool(run.placeable(name)), 10)
+    w, owner, run, shard = stopped()
+    name = shard.name
     lost: list[str] = []
 
     def hook(node: str, body: dict[str, Any]) -> str | None:
