Gangs keep no room from others while their limit or the fleet can't let them begin

Not covered: a gang kept out by endless work of equal standing, which the fleet, were it empty, could hold.

--- a/sagecove/coordination/claims/competing.py
+++ b/sagecove/coordination/claims/competing.py
@@ -262,7 +262,7 @@
         take to boot; from then on what is free where it is served, in one zone if need be, waits
         for it, or it might never find its number: of gangs whose tasks share machines a large one
         was passed by for good."""
-        if not self.making.long_waiting(self.desk.now, job):
+        if not self.making.long_waiting(self.desk.now, job) or not self.making.allowed(job):
             return
         spec = job.spec
         here = [
--- a/sagecove/coordination/claims/making.py
+++ b/sagecove/coordination/claims/making.py
@@ -52,14 +52,17 @@
         self.given_at = 0.0
 
     def withhold(
-        self, shard: Shard, machines: list[Machine], ordered: list[JobRun]
+        self, now: float, shard: Shard, machines: list[Machine], ordered: list[JobRun]
     ) -> dict[str, JobRun]:
         """While a job waits whose task takes most of a machine, arrays leave its room free on the
-        machines it may use: it would only have to stop them again."""
+        machines it may use: it would only have to stop them again. Not for good for one that the
+        fleet could not hold, nor for one that waits for its team's limit."""
         out: dict[str, JobRun] = {}
         for job in ordered:
             if not job.gang or job.placed or not (job.unclaimed or job.placeable(shard.name)):
                 continue
+            if not self.allowed(job) or not (self.long_waiting(now, job) or self._young(now, job)):
+                continue
             for machine in machines:
                 kind = machine.kind
                 if kind is None or machine.name in out or not machine_allowed(job.spec, machine):
@@ -68,6 +71,13 @@
                     out[machine.name] = job
         return out
 
+    def allowed(self, job: JobRun) -> bool:
+        """Its team's limit has room for what a gang waits for. One that waits for its team keeps no
+        room from others: beside idle machines they waited for as long as the team's other work ran,
+        which may be for good."""
+        lack = job.unclaimed.bit_count()
+        return self.limits.obtainable(job.spec, lack) >= lack
+
     def hold_back(self, now: float, shard: Shard, job: JobRun) -> None:
         """A job waits to be claimed as a whole: what comes after it in its team leaves it room
         within the team's limit, and tasks of lower priority are stopped if that is not enough.
@@ -138,8 +148,11 @@
     def long_waiting(self, now: float, job: JobRun) -> bool:
         """A job waits for longer than machines of its own would take to boot: smaller ones of its
         standing no longer go ahead of it."""
-        long_s = long_wait_s(self.desk.types.values())
-        return now - job.seen_at >= long_s and self.shards.could_hold(job)
+        return not self._young(now, job) and self.shards.could_hold(job)
+
+    def _young(self, now: float, job: JobRun) -> bool:
+        """Machines of its own may still be booting."""
+        return now - job.seen_at < long_wait_s(self.desk.types.values())
 
     def limited(self, job: JobRun, wanted: int, claimed: bool = False) -> int:
         """How many tasks of an array may be claimed (or, claimed already, placed) beside what is
--- a/sagecove/coordination/claims/passes.py
+++ b/sagecove/coordination/claims/passes.py
@@ -105,7 +105,7 @@
             self.ground.futile_making = Futile()
             if self.ground.making:
                 self.ground.look_around(shard.name)
-            self.ground.withheld = self.making.withhold(shard, every, ordered)
+            self.ground.withheld = self.making.withhold(now, shard, every, ordered)
             # DESIGN: fuller machines are preferred while some await their return.
             draining = now < self.peers.draining.get(shard.name, -1e9)
             self.ground.packing = draining or any(not m.tasks for m in every)
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -123,7 +123,7 @@
         self.inventory = Inventory(self, self.ledger, self.workers, self.shards)
         self.calls = Calls(self, self.ledger, self.limits, self.backlog, self.shards, self.sync)
         self.upkeep = Upkeep(
-            self, self.shards, self.workers, self.learning, self.backlog, self._why
+            self, self.shards, self.workers, self.learning, self.backlog, self.limits, self._why
         )
         self.stopping = Stopping(self, self.learning)
         self.claims = Claims(
--- a/sagecove/coordination/upkeep.py
+++ b/sagecove/coordination/upkeep.py
@@ -12,6 +12,7 @@
 from sagecove.coordination.placement import machine_allowed, slots
 from sagecove.coordination.ports import TICK_S, Desk, Territory
 from sagecove.protocol.cloud import MachineType
+from sagecove.protocol.users import Job
 
 log = logging.getLogger("sagecove.upkeep")
 
@@ -26,6 +27,13 @@
         """Hand a machine to the provisioner for its return."""
 
 
+class Limiting(Protocol):
+    """Teams' limits."""
+
+    def obtainable(self, spec: Job, wanted: int) -> int:
+        """How many more tasks of this kind a team's limit has room for."""
+
+
 class Upkeep:
     """Idle machines and long waits."""
 
@@ -36,6 +44,7 @@
         workers: Leaving,
         learning: Learning,
         backlog: Backlog,
+        limits: Limiting,
         why: Callable[[JobRun], list[str]],
     ) -> None:
         self.desk = desk
@@ -43,6 +52,7 @@
         self.workers = workers
         self.learning = learning
         self.backlog = backlog
+        self.limits = limits
         # Why a job waits.
         self.why = why
         self.idle_at = 0.0
@@ -111,6 +121,7 @@
                 and not job.blamed
                 and machine_allowed(job.spec, machine)
                 and (shard in job.claims or self.shards.gang_home(job) == shard)
+                and self.limits.obtainable(job.spec, lack := job.unclaimed.bit_count()) >= lack
             ):
                 fit = max(1, slots(job.spec, (kind.cpus, kind.gpus, kind.memory_gb)))
                 count += -(-job.spec.tasks // fit)
