--- a/tests/test_close_looks.py
+++ b/tests/test_close_looks.py
@@ -132,9 +132,8 @@
 def test_a_read_under_way_answers_nobody_who_came_after_it() -> None:
     # Asked for before there is such a job, and answered late; accepted and cancelled meanwhile.
     w = with_machines(3)
-    hold = [1.2]
     w.state.answer_after = lambda node, path: (
-        hold[0] if (node, path[:9]) == ("n0", "/store/o/") else 0
+        1.2 if (node, path[:9]) == ("n0", "/store/o/") else 0.0
     )
     w.look("n0", "GET", f"/api/jobs/{JOB}")
     w.run(0.3)
--- a/tests/test_old_reports.py
+++ b/tests/test_old_reports.py
@@ -72,9 +72,10 @@
     }[which]
     kept = [raw for raws in w.overheard.values() for raw in late(raws)]
     w.overheard.clear()
-    told = [answers for raw in kept for answers in [w.again(raw, sorted(w.owners))]]
+    assert kept
+    for raw in kept:
+        w.again(raw, sorted(w.owners))
     w.run(0.6)
-    assert told
     for owner in w.owners.values():
         for worker in dead:
             machine = owner.machines.get(worker.name)
