--- a/review/standins.py
+++ b/review/standins.py
@@ -401,6 +401,7 @@
         self.lease_s = lab.site["workers"]["lease_s"]
         # A faulty machine fails every task that it starts.
         self.faulty = False
+        self.silent = False
         self.images = set()
         self.fetching = {}
         self.began_at = self.lease_from = time.monotonic()
@@ -420,6 +421,8 @@
         """End the machine with all that is on it."""
         for task in list(self.tasks):
             self._leave(task, "machine gone")
+        self.tasks = {}
+        self.silent = True
         for job in self.jobs:
             job.cancel()
         self.server.close()
@@ -515,7 +518,9 @@
                 self.wake.set()
 
     async def handle(self, method, path, body):
-        """Answer a controller's direct request."""
+        """Answer a controller's direct request; a machine that is gone is silent."""
+        if self.silent:
+            return None
         if path == "/show":
             return 200, self.report()
         held_s = self.lab.hold_command(self, body)
