--- a/review/2/case.py
+++ b/review/2/case.py
@@ -38,12 +38,16 @@
     if TROUBLE:
         await lab.until(lambda: lab.failures.get(task, 0) >= 3, 30, "the job did not fail")
         await asyncio.sleep(0.2)
-    # Two more jobs fail there, and the machine is returned.
+    # Two more jobs fail there, so that the machine gets no more tasks and is returned.
     for number in LATER:
-        await lab.submit(first, job(number, vcpus=1.0, reckonS=2.0))
+        await lab.submit(first, job(number, vcpus=0.5, reckonS=2.0))
     if TROUBLE:
-        await lab.until(lambda: FAULTY not in lab.workers, 40, "the faulty machine is kept")
-        lab.record("LAB     the faulty machine is gone: the trouble is over")
+        later = [f"run-{number:06d}/0" for number in LATER]
+        await lab.until(
+            lambda: all(lab.failures.get(t, 0) > 0 for t in later), 30, "no later job failed"
+        )
+        faulty.faulty = False
+        lab.record(f"LAB     {FAULTY} fails no more tasks: the trouble is over")
     waiting_since = polled_at = time.monotonic()
     while (waited_s := time.monotonic() - waiting_since) <= WAITING_LIMIT_S:
         if HEALTHY not in lab.workers:
@@ -57,6 +61,7 @@
             await lab.ask(third, "GET", f"/api/jobs/run-{JOB:06d}", timeout_s=2.0)
         await asyncio.sleep(0.1)
     await lab.ask(third, "GET", f"/api/jobs/run-{JOB:06d}", timeout_s=2.0)
+    lab.record(f"LAB     {healthy.free_cpus()} CPUs are free on {HEALTHY}, 2 are wanted")
     return f"run-{JOB:06d} has waited for {waited_s:.0f} s beside room on {HEALTHY}"
 
 
