--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, str(FOLDER.parent))
 sys.dont_write_bytecode = True
 
-from standins import NODES, ZONES, CouldNotRun, run_case, submission  # noqa: E402
+from standins import NODES, CouldNotRun, run_case, submission  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # Commands to vm-000001 are held up: on their way to it directly, and inside the answer to a report.
@@ -73,4 +73,5 @@
     return f"ran_twice {lab.ran_twice}" if lab.ran_twice else ""
 
 
-sys.exit(run_case(FOLDER, [(FIRST, ZONES[0]), (SECOND, ZONES[1])], play))
+MACHINES = [(FIRST, "lahore-rack", NODES[0]), (SECOND, "islamabad-rack", NODES[0])]
+sys.exit(run_case(FOLDER, "karakoram-maps", MACHINES, play))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,67 +1,64 @@
-"""Case 2: a repeated submission joins one that waits for a slow answer of the state service."""
+"""Case 2: a job that failed on a faulty machine is never tried on a machine of another controller."""
 
 import asyncio
 import os
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 sys.dont_write_bytecode = True
 
-from standins import NODES, ZONES, CouldNotRun, run_case, submission  # noqa: E402
+from standins import NODES, CouldNotRun, run_case, submission  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# One transaction is carried out at once, and its answer takes this long.
-SLOW_ANSWER_S = 0.9
-JOB = "run-000001"
+FAULTY, HEALTHY = "vm-000001", "vm-000002"
+SERVICE, JOB, LATER = 1, 2, (3, 4)
+# The page's bound for a job that waits beside room.
+WAITING_LIMIT_S = 90.0
 
 
-async def play(lab):
-    slow, other, third = NODES
-    spec = submission(1)
-    lab.specs[JOB] = spec
+def job(number, **fields):
+    """Return a submission of the only team that is used."""
+    return submission(number, outfit="platform-ops-00", sizeGb=0.06, **fields)
 
-    def hold_answer(node, body):
-        puts = [change.get("put") for change in body["then"]]
-        return SLOW_ANSWER_S if TROUBLE and node == slow and f"s/job/{JOB}" in puts else 0.0
 
-    lab.state.hold_answer = hold_answer
-    # A user submits a job to one node and asks at another one, which says that it is accepted.
-    first = asyncio.create_task(lab.ask(slow, "POST", "/api/jobs", spec))
-    for _ in range(40):
-        await asyncio.sleep(0.05)
-        status, _ = await lab.ask(other, "GET", f"/api/jobs/{JOB}", timeout_s=2.0)
-        if status == 200:
-            break
-    else:
-        raise CouldNotRun("the other node does not know the job")
-    # The user cancels it, repeats the request until it is confirmed, and then asks at all nodes.
-    for _ in range(10):
-        status, answer = await lab.ask(other, "POST", f"/api/jobs/{JOB}/cancel")
-        if status == 200:
-            break
-    else:
-        raise CouldNotRun("the cancellation was not confirmed")
-    if answer["standing"] != "aborted":
-        raise CouldNotRun(f"the job was over before: {answer}")
-    lab.record("USER    knows that the job is cancelled")
-    if TROUBLE and first.done():
-        raise CouldNotRun("the slow answer came before the cancellation was confirmed")
-    await asyncio.sleep(0.3)
-    asked = [
-        (node, what, asyncio.create_task(lab.ask(node, *what)))
-        for node in (slow, other, third)
-        for what in (("POST", "/api/jobs", spec), ("GET", f"/api/jobs/{JOB}"))
-    ]
-    answers = [await question for _, _, question in asked]
-    await first
-    older = [
-        f"{what[0]} {what[1]} at {node} -> {status} {answer}"
-        for (node, what, _), (status, answer) in zip(asked, answers, strict=True)
-        if status in (200, 201) and answer["standing"] != "aborted"
-    ]
-    return f"went_back after the cancellation was confirmed: {older}" if older else ""
+async def play(lab):
+    first, second, third = NODES
+    faulty, healthy = lab.workers[FAULTY], lab.workers[HEALTHY]
+    # Both machines have reported under their tokens, so their controllers use them.
+    await asyncio.sleep(0.7)
+    # A small service keeps the healthy machine from being returned as idle.
+    await lab.submit(second, job(SERVICE, shape="service", rank="production", vcpus=1.0, reckonS=0.0))
+    await lab.until(lambda: lab.is_on("run-000001/0", HEALTHY), 20, "the service did not start")
+    faulty.faulty = TROUBLE
+    await lab.submit(first, job(JOB, reckonS=5.0))
+    task = f"run-{JOB:06d}/0"
+    if TROUBLE:
+        await lab.until(lambda: lab.failures.get(task, 0) >= 3, 30, "the job did not fail")
+        await asyncio.sleep(0.2)
+    # Two more jobs fail there, and the machine is returned.
+    for number in LATER:
+        await lab.submit(first, job(number, vcpus=1.0, reckonS=2.0))
+    if TROUBLE:
+        await lab.until(lambda: FAULTY not in lab.workers, 40, "the faulty machine is kept")
+        lab.record("LAB     the faulty machine is gone: the trouble is over")
+    waiting_since = polled_at = time.monotonic()
+    while (waited_s := time.monotonic() - waiting_since) <= WAITING_LIMIT_S:
+        if HEALTHY not in lab.workers:
+            raise CouldNotRun("the healthy machine was returned")
+        if lab.on.get(task) or task in lab.done:
+            return ""
+        if healthy.free_cpus() < 2.0:
+            waiting_since = time.monotonic()
+        if time.monotonic() - polled_at > 5.0:
+            polled_at = time.monotonic()
+            await lab.ask(third, "GET", f"/api/jobs/run-{JOB:06d}", timeout_s=2.0)
+        await asyncio.sleep(0.1)
+    await lab.ask(third, "GET", f"/api/jobs/run-{JOB:06d}", timeout_s=2.0)
+    return f"run-{JOB:06d} has waited for {waited_s:.0f} s beside room on {HEALTHY}"
 
 
-sys.exit(run_case(FOLDER, [("vm-000001", ZONES[0]), ("vm-000002", ZONES[1])], play))
+MACHINES = [(FAULTY, "regina-hall", NODES[0]), (HEALTHY, "regina-hall", NODES[1])]
+sys.exit(run_case(FOLDER, "prairie-codeshare", MACHINES, play))
