A task is reaped only when no launch of it can arrive, in an answer to a report either

Cause: a launch travels twice, directly and in the answer to a report that crossed it. The reap waited for direct launches only, so the held answer started the reaped attempt again. Change: LaunchTracker, one for each machine, by task and attempt: direct launches until their response or a higher token, launches in answers until a later report or 4.5 s. The reap of known and unknown tasks and the conclusion that a task is gone all ask it. It replaces the counters on placements. Launches that do not fit into a message no longer count as sent. Why it works: PROTOCOL has workers drop answers 4 s after they sent the report, with one report in flight; until the reap, a repeated launch does nothing.

--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -6,6 +6,7 @@
 from collections import OrderedDict
 from typing import Any, Protocol
 
+from sagecove.coordination.launch_tracker import Launch, LaunchTracker
 from sagecove.protocol import workers as worker_protocol
 from sagecove.protocol.cloud import MachineType
 from sagecove.protocol.users import ARRAY, GANG, PRIORITY_RANKS, SERVICE, Job
@@ -252,10 +253,6 @@
     running_at: float = 0.0
     # `seq` of the last report whose response carried the launch order.
     answered_seq: int = 0
-    open_launch_calls: int = 0
-    # Token of an unanswered direct launch: it may be executed until a higher token is shown.
-    unconfirmed_token: int = -1
-    unconfirmed_at: float = 0.0
     # Counted by `Ledger`; and waiting for an image that its machine did not have.
     in_ledger: bool = False
     fetching: bool = False
@@ -266,9 +263,9 @@
         return self.state != worker_protocol.EXITED
 
     @property
-    def in_flight(self) -> bool:
-        """A launch order of this attempt may still reach the worker."""
-        return self.open_launch_calls > 0 or self.unconfirmed_token >= 0
+    def launch(self) -> Launch:
+        """The task and attempt that a launch command names."""
+        return self.task, self.attempt
 
 
 class Machine:
@@ -335,6 +332,8 @@
         self.handing_over = False
         self.used = [0.0, 0.0, 0.0]
         self.open_call_count = 0
+        # What was sent by an earlier holder or to an earlier session is refused by the worker.
+        self.launches = LaunchTracker()
 
     def free_room(self) -> tuple[float, float, float]:
         """Return the CPUs, GPUs and memory (GB) not taken by placements."""
@@ -373,7 +372,7 @@
 
     @property
     def empty(self) -> bool:
-        """The machine provably has no task, and no command to it is open."""
+        """The machine provably has no task (none may arrive), and no command to it is open."""
         return (
             self.tasks_known
             and not self.tasks
--- a/sagecove/coordination/reachability.py
+++ b/sagecove/coordination/reachability.py
@@ -167,6 +167,7 @@
             # just been launched were started again elsewhere.
             machine.session = report.session
             machine.seq = machine.worker_token = machine.last_hello_seq = machine.answered_seq = 0
+            machine.launches.note_restart()
             machine.ended_session = -1
             machine.tasks_known = machine.quiescent = False
             machine.missed_answer_count = 0
--- a/sagecove/coordination/uncertain_launches.py
+++ b/sagecove/coordination/uncertain_launches.py
@@ -1,4 +1,4 @@
-"""Tracks launches sent directly to a worker that got no response and may still be executed.
+"""Resolves launches sent directly to a worker that got no response and may still be executed.
 
 The network may deliver such a launch long after its job was cancelled, and the worker obeys it as
 long as token and session match. Where an uncertain launch is in the way, the machine's token is
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from sagecove.coordination.interfaces import BaseContext
+from sagecove.coordination.launch_tracker import Launch, UnconfirmedLaunch
 from sagecove.coordination.model import LAUNCH_SENT, Machine, Placement, Shard
 from sagecove.protocol import workers as worker_protocol
 
@@ -45,25 +46,14 @@
         self.lease_expiry_s = lease_expiry_s
         self.machines: dict[str, Machine] = {}
 
-    def add(self, machine: Machine, placement: Placement, token: int) -> None:
-        """Record that a launch under this token got no response."""
-        placement.unconfirmed_token = max(placement.unconfirmed_token, token)
-        placement.unconfirmed_at = self.context.now
+    def add(self, machine: Machine) -> None:
+        """Watch a machine to which a launch was sent that got no response."""
         self.machines[machine.name] = machine
 
-    def note_obeyed_token(self, machine: Machine, token: int) -> None:
-        """Drop launches that can't be executed any more: the worker rejects tokens below this."""
-        if machine.name in self.machines:
-            for placement in machine.tasks.values():
-                if placement.unconfirmed_token >= 0 and token > placement.unconfirmed_token:
-                    placement.unconfirmed_token = -1
-
     def tick(self, now: float) -> None:
-        """Raise the token of machines where an uncertain launch belongs to a stopped task."""
+        """Raise the token of machines to which an unwanted launch may still be delivered."""
         for name, machine in list(self.machines.items()):
-            if self.context.machines.get(name) is not machine or not any(
-                p.unconfirmed_token >= 0 for p in machine.tasks.values()
-            ):
+            if self.context.machines.get(name) is not machine or not machine.launches.unconfirmed:
                 del self.machines[name]
                 continue
             shard = self.context.held_shards.get(machine.record.shard)
@@ -71,10 +61,9 @@
                 continue
             token = max(shard.term, machine.stamp)
             unwanted = [
-                p
-                for p in machine.tasks.values()
-                if p.unconfirmed_token >= token
-                and (p.state == worker_protocol.EXITED or p.stop_grace_s is not None)
+                (machine.tasks.get(launch[0]), sent)
+                for launch, sent in machine.launches.unconfirmed.items()
+                if sent.token >= token and not _is_wanted(machine, launch)
             ]
             if not unwanted:
                 continue
@@ -84,7 +73,8 @@
             # worker's lease throughout the outage. So the worker is no longer answered, and its
             # session ends with all that was sent to it.
             if now >= machine.unanswered_until and any(
-                self._must_end_session(now, p) for p in unwanted
+                placement is not None and self._must_end_session(now, placement, sent)
+                for placement, sent in unwanted
             ):
                 log.info("launch in doubt, session to end machine=%s", name)
                 machine.unanswered_until = now + self.lease_expiry_s + self._report_s
@@ -94,10 +84,20 @@
     def _report_s(self) -> float:
         return self.context.settings.params.workers.report_s
 
-    def _must_end_session(self, now: float, placement: Placement) -> bool:
+    def _must_end_session(self, now: float, placement: Placement, sent: UnconfirmedLaunch) -> bool:
         job = placement.job
         job_over = job is None or job.cancelled_elsewhere or job.id not in self.context.jobs
         wait_s = self._report_s if self.state_service_connected() else 0.0
-        return (
-            job_over and placement.state == LAUNCH_SENT and now - placement.unconfirmed_at >= wait_s
-        )
+        return job_over and placement.state == LAUNCH_SENT and now - sent.since >= wait_s
+
+
+def _is_wanted(machine: Machine, launch: Launch) -> bool:
+    """Return whether the task may run: it is placed as this attempt, and neither exited nor to be
+    stopped."""
+    placement = machine.tasks.get(launch[0])
+    return (
+        placement is not None
+        and placement.launch == launch
+        and placement.state != worker_protocol.EXITED
+        and placement.stop_grace_s is None
+    )
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -2,7 +2,7 @@
 
 A task is provably gone from a machine when
 - a report newer than its launch shows it exited, or doesn't show it while no launch of it can still
-  arrive;
+  arrive (`launch_tracker`);
 - the worker has begun a later session;
 - the machine was deleted (its record is gone), or its worker's lease has surely expired.
 """
@@ -18,6 +18,7 @@
 from sagecove.config import WORKER_ANSWER_TIMEOUT_S
 from sagecove.coordination import images
 from sagecove.coordination.effects import Reply
+from sagecove.coordination.launch_tracker import LaunchTracker
 from sagecove.coordination.model import LAUNCH_SENT, Machine, Placement
 from sagecove.coordination.reachability import Reachability
 from sagecove.coordination.uncertain_launches import UncertainLaunches
@@ -35,6 +36,9 @@
 
 # When many machines fall silent together, none is returned before this many leases.
 MANY_SILENT_LEASES_COUNT = 6
+# At most this many commands in one message, and stops and reaps among them.
+MAX_ORDERS_COUNT = 400
+MAX_STOP_ORDERS_COUNT = 200
 # A peer whose last hint is older than this is taken for silent: hints come once a second.
 HINT_FRESH_S = 2.5
 
@@ -146,6 +150,7 @@
             return
         # A report that is neither newest nor out of date was overtaken by the response to a direct
         # command: its task list is old, but the worker still waits for this answer.
+        machine.launches.note_report(report.seq)
         machine.last_answer_at = now
         machine.answered_seq, machine.answered_token = report.seq, token
         orders: list[worker_protocol.WorkerCommand] = []
@@ -353,9 +358,9 @@
             and all(
                 p.state in (worker_protocol.PULLING, worker_protocol.TASK_RUNNING)
                 and p.stop_grace_s is None
-                and p.unconfirmed_token < 0
                 for p in machine.tasks.values()
             )
+            and not machine.launches.unconfirmed
         )
 
     def apply_report(
@@ -392,6 +397,9 @@
             machine.last_answer_at = max(machine.last_answer_at, now)
         machine.session, machine.seq = report.session, report.seq
         machine.worker_token = report.token
+        machine.launches.note_token(report.token)
+        if via_hello:
+            machine.launches.note_report(report.seq)
         machine.addr = report.addr
         machine.last_report_at = now
         if not machine.ever_reported:
@@ -431,20 +439,16 @@
             seen.add(reported.task)
             if placement.state != reported.state:
                 self._apply_task_state(machine, placement, reported)
-        self.uncertain_launches.note_obeyed_token(machine, report.token)
         missing = [task for task in tasks if task not in seen] if len(seen) < len(tasks) else []
         for task in missing:
             placement = tasks[task]
-            if placement.state == LAUNCH_SENT:
-                gone = (
-                    placement.stop_grace_s is not None
-                    and not placement.in_flight
-                    and via_hello
-                    and report.seq > placement.answered_seq
-                )
-            else:
-                gone = not placement.in_flight
-            if gone:
+            if machine.launches.may_arrive(placement.launch, now):
+                continue
+            # A launch that has not been seen is repeated, unless the task is to be stopped.
+            wanted = placement.state == LAUNCH_SENT and placement.stop_grace_s is None
+            # The worker may have taken an answer after it sent the response to a direct command.
+            overtaken = placement.state == LAUNCH_SENT and not via_hello
+            if not wanted and not overtaken:
                 self.drop_task(machine, placement)
         if via_hello:
             self.reachability.check_answers_received(now, machine, report.seq, token)
@@ -553,6 +557,7 @@
         machine.used = [0.0, 0.0, 0.0]
         machine.quiescent = False
         machine.unknown_tasks = {}
+        machine.launches = LaunchTracker()
         self.owner.ledger.update_machine(machine)
 
     def tick(self, now: float) -> None:
@@ -697,7 +702,9 @@
 
         It may once no launch of the task is under way and its result is durable.
         """
-        if placement.state != worker_protocol.EXITED or placement.in_flight:
+        if placement.state != worker_protocol.EXITED:
+            return False
+        if placement.machine.launches.may_arrive(placement.launch, self.owner.now):
             return False
         job = placement.job
         if (
@@ -709,51 +716,60 @@
         return bool(job.finished >> placement.index & 1)
 
     def orders_for(self, machine: Machine, seq: int | None) -> list[worker_protocol.WorkerCommand]:
-        """Commands for a worker, to answer report number `seq` or, if None, to be sent directly."""
-        owner = self.owner
+        """Commands for a worker, to answer report number `seq` or, if None, to be sent directly.
+
+        The launches among them count as under way from now on.
+        """
+        # Bounded, so that an answer stays far below the protocol's limit of 64 KiB.
+        orders = self._stop_and_reap_orders(machine)[:MAX_STOP_ORDERS_COUNT]
+        for placement in list(machine.tasks.values()):
+            if len(orders) >= MAX_ORDERS_COUNT:
+                break
+            if (
+                placement.state != LAUNCH_SENT
+                or placement.stop_grace_s is not None
+                or placement.job is None
+                or placement.job.id not in self.owner.jobs
+            ):
+                continue
+            orders.append(
+                worker_protocol.WorkerCommand(
+                    worker_protocol.LAUNCH, placement.task, placement.attempt
+                )
+            )
+            if seq is not None:
+                placement.answered_seq = seq
+                machine.launches.note_answer(placement.launch, seq, self.owner.now)
+            else:
+                machine.launches.note_call(placement.launch)
+        return orders
+
+    def _stop_and_reap_orders(self, machine: Machine) -> list[worker_protocol.WorkerCommand]:
+        """Commands to stop tasks and to forget exited ones."""
         orders: list[worker_protocol.WorkerCommand] = []
-        launches: list[worker_protocol.WorkerCommand] = []
         for placement in machine.tasks.values():
+            task, attempt = placement.launch
             if placement.state == worker_protocol.EXITED:
                 if self.can_reap(placement):
                     orders.append(
-                        worker_protocol.WorkerCommand(
-                            worker_protocol.REAP, placement.task, placement.attempt
-                        )
-                    )
-            elif placement.stop_grace_s is not None:
-                if placement.state == LAUNCH_SENT:
-                    continue
-                if placement.state != worker_protocol.SAVING or placement.stop_grace_s == 0:
-                    orders.append(
-                        worker_protocol.WorkerCommand(
-                            worker_protocol.HALT,
-                            placement.task,
-                            placement.attempt,
-                            placement.stop_grace_s,
-                        )
-                    )
-            elif placement.state == LAUNCH_SENT and placement.job is not None:
-                if placement.job.id not in owner.jobs:
-                    continue
-                launches.append(
-                    worker_protocol.WorkerCommand(
-                        worker_protocol.LAUNCH, placement.task, placement.attempt
+                        worker_protocol.WorkerCommand(worker_protocol.REAP, task, attempt)
                     )
+                continue
+            grace_s = placement.stop_grace_s
+            if grace_s is None or placement.state == LAUNCH_SENT:
+                continue
+            if placement.state != worker_protocol.SAVING or grace_s == 0:
+                orders.append(
+                    worker_protocol.WorkerCommand(worker_protocol.HALT, task, attempt, grace_s)
                 )
-                if seq is not None:
-                    placement.answered_seq = seq
-                else:
-                    placement.open_launch_calls += 1
         for (task, attempt), state in machine.unknown_tasks.items():
-            if state == worker_protocol.EXITED:
-                orders.append(worker_protocol.WorkerCommand(worker_protocol.REAP, task, attempt))
-            else:
+            if state != worker_protocol.EXITED:
                 orders.append(
                     worker_protocol.WorkerCommand(worker_protocol.HALT, task, attempt, 0.0)
                 )
-        # Bounded, so that an answer stays far below the protocol's limit of 64 KiB.
-        return orders[:200] + launches[: 400 - len(orders[:200])]
+            elif not machine.launches.may_arrive((task, attempt), self.owner.now):
+                orders.append(worker_protocol.WorkerCommand(worker_protocol.REAP, task, attempt))
+        return orders
 
     def mark_urgent(self, machine: Machine) -> None:
         """Have a machine's commands sent directly, without waiting for its next report."""
@@ -772,14 +788,7 @@
             if machine.open_call_count:
                 continue
             del self.urgent_machines[machine.name]
-            pending_launches = [
-                p
-                for p in machine.tasks.values()
-                if p.state == LAUNCH_SENT and p.stop_grace_s is None
-            ]
-            before = {p.task: p.open_launch_calls for p in pending_launches}
             orders = self.orders_for(machine, None)
-            sent_launches = [p for p in pending_launches if p.open_launch_calls > before[p.task]]
             if not orders:
                 continue
             token = max(shard.term, machine.stamp)
@@ -790,22 +799,30 @@
                 "/commands",
                 worker_protocol.DirectCommands(token, machine.session, orders),
                 self.call_timeout_s,
-                self._direct_command_callback(machine, sent_launches, token),
+                self._direct_command_callback(machine, orders, token),
             )
 
     def _direct_command_callback(
-        self, machine: Machine, sent_launches: list[Placement], token: int
+        self, machine: Machine, orders: list[worker_protocol.WorkerCommand], token: int
     ) -> ResponseHandler:
+        # A later session or holder has a tracker of its own.
+        launches = machine.launches
+        sent_launches = [
+            (order.task, order.attempt) for order in orders if order.op == worker_protocol.LAUNCH
+        ]
+
         def done(status: int | None, body: bytes) -> None:
             owner = self.owner
             machine.open_call_count -= 1
             machine.quiescent = False
             outcome_known = status in (200, 409, 400, 0)
-            for placement in sent_launches:
-                placement.open_launch_calls -= 1
-                if not outcome_known:
-                    # The launch may still be executed until the worker has seen a higher token.
-                    self.uncertain_launches.add(machine, placement, token)
+            for launch in sent_launches:
+                if outcome_known:
+                    launches.note_response(launch)
+                else:
+                    # It may still be executed until the worker has seen a higher token.
+                    launches.note_no_response(launch, token, owner.now)
+                    self.uncertain_launches.add(machine)
             if status not in (200, 409) or owner.machines.get(machine.name) is not machine:
                 return
             report = decode_answer(body, worker_protocol.Report)
