A late older report does not hide a launch in the answer to a newer one

Cause: the tracker kept the report number of the last answer with a launch. An older report that arrives after a newer one overtaken by a direct command is answered too, and its lower number replaced the newer; a copy of the newer report then settled an answer under way. Change: the higher number is kept. Measured: the new lines of test_launch_in_answer_may_arrive_until_later_report_or_timeout fail without the change; tests/test_held_launches.py: 10 passed with it.

--- a/sagecove/coordination/launch_tracker.py
+++ b/sagecove/coordination/launch_tracker.py
@@ -88,6 +88,10 @@
 
     def note_answer(self, launch: Launch, seq: int, now: float) -> None:
         """Record that a launch is being sent in the answer to report `seq`, received by `now`."""
+        earlier = self._answered.get(launch)
+        if earlier is not None:
+            # An older report can arrive after a newer one, whose answer may still be under way.
+            seq = max(seq, earlier.seq)
         expires_at = now + WORKER_ANSWER_TIMEOUT_S + ANSWER_EXPIRY_MARGIN_S
         self._answered[launch] = AnsweredLaunch(seq, expires_at)
 
--- a/tests/test_held_launches.py
+++ b/tests/test_held_launches.py
@@ -137,6 +137,11 @@
     assert not tracker.may_arrive(LAUNCH, now=105.0)
     tracker.note_report(6)
     assert not tracker.may_arrive(LAUNCH, now=100.0)
+    # An older report that arrives late does not hide the answer to a newer one.
+    tracker.note_answer(LAUNCH, seq=89, now=200.0)
+    tracker.note_answer(LAUNCH, seq=88, now=200.0)
+    tracker.note_report(89)
+    assert tracker.may_arrive(LAUNCH, now=200.0)
     tracker.note_answer(LAUNCH, seq=90, now=200.0)
     tracker.note_restart()
     assert not tracker.may_arrive(LAUNCH, now=200.0)
