--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -79,3 +79,47 @@
     world.submit("n0", job_submission(2, outfit="red", hands=4, **gang_fields))
     world.run(40)
     check_other_team_starts(world, shape, cards=1.0)
+
+
+def test_arrays_and_waiting_gangs_do_not_block_each_other() -> None:
+    # Guards against a machine that stays idle: its room is reserved for arrays, and withheld from
+    # arrays for a gang that waits.
+    world = World(node_count=1)
+    world.cloud.capacity = {"small": 3, "gpu": 0}
+    for number in range(3):
+        world.cloud.start_machine("small", "ab"[number % 2], False)
+    world.run(6)
+    world.poll_jobs()
+    for worker in world.workers.values():
+        worker.task_run_s = None
+    gang: dict[str, Any] = {"hands": 2, "shape": "ensemble", "rank": "urgent", "vcpus": 3.0}
+    array: dict[str, Any] = {"rank": "urgent", "vcpus": 4.0}
+    low: dict[str, Any] = {"rank": "low", "outfit": "blue"}
+    service: dict[str, Any] = {"hands": 2, "shape": "service", "rank": "production", "vcpus": 1.0}
+    # Each job with its run time and the time until the next submission, in seconds.
+    history: list[tuple[dict[str, Any], float, float]] = [
+        (gang, 4.0, 0.1),
+        (array, 0.5, 0.1),
+        (gang, 0.5, 0.1),
+        (array, 4.0, 0.1),
+        (array, 0.5, 0.1),
+        (gang, 4.0, 0.5),
+        (gang, 4.0, 2.0),
+        (low, 4.0, 0.1),
+        (service, 0.0, 2.0),
+        (low, 4.0, 0.1),
+        (low, 4.0, 0.1),
+    ]
+    for number, (fields, run_s, pause_s) in enumerate(history, 1):
+        world.submit("n0", job_submission(number, reckonS=run_s, **fields))
+        world.run(pause_s)
+    world.run(30)
+    assert world.user_request("n0", "POST", "/api/jobs/run-000009/cancel")[0] == 200
+    world.faults_over_at = world.now
+    tasks = {
+        f"{job}/{index}"
+        for job, spec in world.specs.items()
+        if spec["shape"] != "service"
+        for index in range(spec["hands"])
+    }
+    world.run_until(lambda: tasks <= world.completed_tasks, 240)
