Commands to workers move to a module of their own

The commands (launches, stops, reaps, direct sending) are now `worker_commands.WorkerCommands`, which knows the owner by a protocol only.

--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -124,7 +124,7 @@
         self.leadership = Leadership(self)
         self.failures = FailureTracker(self)
         self.workers = Workers(self)
-        self.cancellations = Cancellations(self, self.workers.stop_task)
+        self.cancellations = Cancellations(self, self.workers.commands.stop_task)
         self.inventory = Inventory(self, self.ledger, self.workers, self.shards)
         self.room_requests = RoomRequests(
             self, self.ledger, self.limits, self.backlog, self.shards, self.sync
@@ -147,7 +147,7 @@
             self.estimates,
             self.failures,
             self.preemption_policy,
-            self.workers,
+            self.workers.commands,
             self.shards,
             self.sync,
             self.peers,
@@ -190,7 +190,7 @@
             self.pass_needed = False
             self.last_pass_at = now
             self._pass(now)
-        self.workers.send_urgent_commands(now)
+        self.workers.commands.send_urgent_commands(now)
         self.sync.sync_if_due(now)
         self.store.flush(now)
         effects, self.effects = self.effects, []
@@ -396,5 +396,5 @@
         self.backlog.remove(job)
         self.peers.room_shortages.pop(job.id, None)
         for placement in list(job.placed.values()):
-            self.workers.stop_task(placement, 0.0, "job over")
+            self.workers.commands.stop_task(placement, 0.0, "job over")
         self.ledger.remove_job(job)
--- /dev/null
+++ b/sagecove/coordination/worker_commands.py
@@ -0,0 +1,222 @@
+"""Composes the commands for workers, and sends them directly where they should not wait.
+
+Every command is repeated, in the answers to reports or directly, until a report shows its effect.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from sagecove.coordination.interfaces import BaseContext, ResponseCallback
+from sagecove.coordination.ledger import Ledger
+from sagecove.coordination.model import LAUNCH_SENT, Machine, Placement, Shard
+from sagecove.coordination.uncertain_launches import UncertainLaunches
+from sagecove.protocol import workers as worker_protocol
+
+log = logging.getLogger("sagecove.workers")
+
+# At most this many commands in one message, and stops and reaps among them.
+MAX_ORDERS_COUNT = 400
+MAX_STOP_ORDERS_COUNT = 200
+
+
+class Authority(Protocol):
+    """Tells whether this controller may act."""
+
+    def may_act(self, now: float) -> bool:
+        """Return whether this controller may act for its shards."""
+
+
+class CommandContext(BaseContext, Protocol):
+    """Interface that the commands require of the owner."""
+
+    held_shards: dict[str, Shard]
+    ledger: Ledger
+    # Something has changed that the next scheduling pass has to consider.
+    pass_needed: bool
+
+    @property
+    def leadership(self) -> Authority:
+        """This controller's authority."""
+
+    def call(
+        self, target: str, method: str, path: str, body: Any, timeout: float, done: ResponseCallback
+    ) -> None:
+        """Send a request; `done` is called with its response."""
+
+
+class WorkerCommands:
+    """Decides which commands workers get.
+
+    `on_response(machine, body)` is called with each worker's response to direct commands.
+    """
+
+    def __init__(
+        self,
+        context: CommandContext,
+        uncertain_launches: UncertainLaunches,
+        call_timeout_s: float,
+        on_response: Callable[[Machine, bytes], None],
+    ) -> None:
+        self.context = context
+        self.uncertain_launches = uncertain_launches
+        self.call_timeout_s = call_timeout_s
+        self.on_response = on_response
+        # Machines with commands that should not wait for the next report.
+        self.urgent_machines: dict[str, Machine] = {}
+
+    def can_reap(self, placement: Placement) -> bool:
+        """Return whether the worker may forget an exited task.
+
+        It may once no launch of the task is under way and its result is durable.
+        """
+        if placement.state != worker_protocol.EXITED:
+            return False
+        if placement.machine.launches.may_arrive(placement.launch, self.context.now):
+            return False
+        job = placement.job
+        if (
+            placement.exit_reason != worker_protocol.EXIT_DONE
+            or job is None
+            or job.id not in self.context.jobs
+        ):
+            return True
+        return bool(job.finished >> placement.index & 1)
+
+    def commands_for(
+        self, machine: Machine, seq: int | None
+    ) -> list[worker_protocol.WorkerCommand]:
+        """Commands for a worker, to answer report number `seq` or, if None, to be sent directly.
+
+        The launches among them count as under way from now on.
+        """
+        # Bounded, so that an answer stays far below the protocol's limit of 64 KiB.
+        orders = self._stop_and_reap_orders(machine)[:MAX_STOP_ORDERS_COUNT]
+        for placement in list(machine.tasks.values()):
+            if len(orders) >= MAX_ORDERS_COUNT:
+                break
+            if (
+                placement.state != LAUNCH_SENT
+                or placement.stop_grace_s is not None
+                or placement.job is None
+                or placement.job.id not in self.context.jobs
+            ):
+                continue
+            orders.append(
+                worker_protocol.WorkerCommand(
+                    worker_protocol.LAUNCH, placement.task, placement.attempt
+                )
+            )
+            if seq is not None:
+                placement.answered_seq = seq
+                machine.launches.note_answer(placement.launch, seq, self.context.now)
+            else:
+                machine.launches.note_call(placement.launch)
+        return orders
+
+    def _stop_and_reap_orders(self, machine: Machine) -> list[worker_protocol.WorkerCommand]:
+        """Commands to stop tasks and to forget exited ones."""
+        orders: list[worker_protocol.WorkerCommand] = []
+        for placement in machine.tasks.values():
+            task, attempt = placement.launch
+            if placement.state == worker_protocol.EXITED:
+                if self.can_reap(placement):
+                    orders.append(
+                        worker_protocol.WorkerCommand(worker_protocol.REAP, task, attempt)
+                    )
+                continue
+            grace_s = placement.stop_grace_s
+            if grace_s is None or placement.state == LAUNCH_SENT:
+                continue
+            if placement.state != worker_protocol.SAVING or grace_s == 0:
+                orders.append(
+                    worker_protocol.WorkerCommand(worker_protocol.HALT, task, attempt, grace_s)
+                )
+        for (task, attempt), state in machine.unknown_tasks.items():
+            if state != worker_protocol.EXITED:
+                orders.append(
+                    worker_protocol.WorkerCommand(worker_protocol.HALT, task, attempt, 0.0)
+                )
+            elif not machine.launches.may_arrive((task, attempt), self.context.now):
+                orders.append(worker_protocol.WorkerCommand(worker_protocol.REAP, task, attempt))
+        return orders
+
+    def mark_urgent(self, machine: Machine) -> None:
+        """Have a machine's commands sent directly, without waiting for its next report."""
+        self.urgent_machines[machine.name] = machine
+
+    def send_urgent_commands(self, now: float) -> None:
+        """Send urgent commands directly to workers; the answer to the next report repeats them."""
+        context = self.context
+        if not context.leadership.may_act(now):
+            return
+        for machine in list(self.urgent_machines.values()):
+            shard = context.held_shards.get(machine.record.shard)
+            if shard is None or shard.yielding or not machine.tasks_known or not machine.addr:
+                del self.urgent_machines[machine.name]
+                continue
+            if machine.open_call_count:
+                continue
+            del self.urgent_machines[machine.name]
+            orders = self.commands_for(machine, None)
+            if not orders:
+                continue
+            token = max(shard.term, machine.stamp)
+            machine.open_call_count += 1
+            context.call(
+                machine.addr,
+                "POST",
+                "/commands",
+                worker_protocol.DirectCommands(token, machine.session, orders),
+                self.call_timeout_s,
+                self._direct_command_callback(machine, orders, token),
+            )
+
+    def _direct_command_callback(
+        self, machine: Machine, orders: list[worker_protocol.WorkerCommand], token: int
+    ) -> ResponseCallback:
+        # A later session or holder has a tracker of its own.
+        launches = machine.launches
+        sent_launches = [
+            (order.task, order.attempt) for order in orders if order.op == worker_protocol.LAUNCH
+        ]
+
+        def done(status: int | None, body: bytes) -> None:
+            context = self.context
+            machine.open_call_count -= 1
+            machine.quiescent = False
+            outcome_known = status in (200, 409, 400, 0)
+            for launch in sent_launches:
+                if outcome_known:
+                    launches.note_response(launch)
+                else:
+                    # It may still be executed until the worker has seen a higher token.
+                    launches.note_no_response(launch, token, context.now)
+                    self.uncertain_launches.add(machine)
+            if status in (200, 409) and context.machines.get(machine.name) is machine:
+                self.on_response(machine, body)
+
+        return done
+
+    def stop_task(self, placement: Placement, grace_s: float, stopped_for: str) -> None:
+        """Stop a task; a later call can only shorten its grace period."""
+        if placement.state == worker_protocol.EXITED:
+            return
+        if placement.stop_grace_s is not None and placement.stop_grace_s <= grace_s:
+            return
+        if placement.stop_grace_s is None:
+            placement.stop_requested_at = self.context.now
+            log.info(
+                "stop task=%s attempt=%d machine=%s for=%s",
+                placement.task,
+                placement.attempt,
+                placement.machine.name,
+                stopped_for,
+            )
+        placement.stop_grace_s = grace_s
+        placement.stopped_for = stopped_for
+        self.context.ledger.mark_stopping(placement)
+        self.mark_urgent(placement.machine)
+        self.context.pass_needed = True
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -22,6 +21,7 @@
 from sagecove.coordination.model import LAUNCH_SENT, Machine, Placement
 from sagecove.coordination.reachability import Reachability
 from sagecove.coordination.uncertain_launches import UncertainLaunches
+from sagecove.coordination.worker_commands import WorkerCommands
 from sagecove.protocol import workers as worker_protocol
 from sagecove.protocol.users import Refusal
 from sagecove.storage.records import HOLDER_PREFIX, MachineRecord
@@ -32,13 +32,8 @@
 
 log = logging.getLogger("sagecove.workers")
 
-ResponseHandler = Callable[[int | None, bytes], None]
-
 # When many machines fall silent together, none is returned before this many leases.
 MANY_SILENT_LEASES_COUNT = 6
-# At most this many commands in one message, and stops and reaps among them.
-MAX_ORDERS_COUNT = 400
-MAX_STOP_ORDERS_COUNT = 200
 # A peer whose last hint is older than this is taken for silent: hints come once a second.
 HINT_FRESH_S = 2.5
 
@@ -68,10 +63,7 @@
             *(3 * worker_settings.report_s, worker_settings.lease_s / 3),
             1.25 * worker_settings.report_s + self.call_timeout_s + 1.5,
         )
-        self.reachability = Reachability(owner, self.lease_expiry_s, self.stop_task)
         self.adopting_machines: set[str] = set()
-        # Machines with commands that should not wait for the next report.
-        self.urgent_machines: dict[str, Machine] = {}
         # By machine name: when its record was deleted.
         self.deleted_at: dict[str, float] = {}
         # By shard: when one of its machines may first be silent or have an expired lease.
@@ -82,6 +74,10 @@
         self.uncertain_launches = UncertainLaunches(
             owner, self._raise_token, lambda: owner.sync.connected(), self.lease_expiry_s
         )
+        self.commands = WorkerCommands(
+            owner, self.uncertain_launches, self.call_timeout_s, self._apply_direct_response
+        )
+        self.reachability = Reachability(owner, self.lease_expiry_s, self.commands.stop_task)
 
     # -- reports --------------------------------------------------------------------------------
 
@@ -155,10 +151,10 @@
         machine.answered_seq, machine.answered_token = report.seq, token
         orders: list[worker_protocol.WorkerCommand] = []
         if machine.tasks_known and not machine.quiescent:
-            orders = self.orders_for(machine, report.seq)
+            orders = self.commands.commands_for(machine, report.seq)
             machine.quiescent = not orders and self._has_nothing_due(machine)
         owner.effects.append(Reply(exchange, 200, worker_protocol.ReportAnswer(token, orders)))
-        self.urgent_machines.pop(machine.name, None)
+        self.commands.urgent_machines.pop(machine.name, None)
 
     def _handle_foreign_report(
         self,
@@ -461,12 +457,26 @@
             owner.shards.resolve_machine(machine)
         owner.pass_needed = True
 
+    def _apply_direct_response(self, machine: Machine, body: bytes) -> None:
+        """Apply the report in a worker's response to direct commands."""
+        report = decode_answer(body, worker_protocol.Report)
+        shard = self.owner.held_shards.get(machine.record.shard)
+        if report is None or shard is None or report.machine != machine.name:
+            return
+        try:
+            reported_tasks = worker_protocol.decode_task_reports(report.tasks)
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            return
+        if self._is_newest(machine, report):
+            token = max(shard.term, machine.stamp)
+            self.apply_report(machine, report, reported_tasks, token, via_hello=False)
+
     def _stop_saving_tasks(self, machine: Machine) -> None:
         """Stop tasks that can save before a spot machine is reclaimed; others may yet complete."""
         for placement in list(machine.tasks.values()):
             job = placement.job
             if job is not None and job.spec.checkpoint_s > 0 and placement.takes_room:
-                self.stop_task(placement, job.grace_s, "spot notice")
+                self.commands.stop_task(placement, job.grace_s, "spot notice")
 
     def _recognize_task(
         self, machine: Machine, reported: worker_protocol.TaskReport
@@ -694,169 +704,3 @@
             machine.committing = False
 
         owner.put_machine(machine.name, record, machine.stamp, shard, done)
-
-    # -- commands -------------------------------------------------------------------------------
-
-    def can_reap(self, placement: Placement) -> bool:
-        """Return whether the worker may forget an exited task.
-
-        It may once no launch of the task is under way and its result is durable.
-        """
-        if placement.state != worker_protocol.EXITED:
-            return False
-        if placement.machine.launches.may_arrive(placement.launch, self.owner.now):
-            return False
-        job = placement.job
-        if (
-            placement.exit_reason != worker_protocol.EXIT_DONE
-            or job is None
-            or job.id not in self.owner.jobs
-        ):
-            return True
-        return bool(job.finished >> placement.index & 1)
-
-    def orders_for(self, machine: Machine, seq: int | None) -> list[worker_protocol.WorkerCommand]:
-        """Commands for a worker, to answer report number `seq` or, if None, to be sent directly.
-
-        The launches among them count as under way from now on.
-        """
-        # Bounded, so that an answer stays far below the protocol's limit of 64 KiB.
-        orders = self._stop_and_reap_orders(machine)[:MAX_STOP_ORDERS_COUNT]
-        for placement in list(machine.tasks.values()):
-            if len(orders) >= MAX_ORDERS_COUNT:
-                break
-            if (
-                placement.state != LAUNCH_SENT
-                or placement.stop_grace_s is not None
-                or placement.job is None
-                or placement.job.id not in self.owner.jobs
-            ):
-                continue
-            orders.append(
-                worker_protocol.WorkerCommand(
-                    worker_protocol.LAUNCH, placement.task, placement.attempt
-                )
-            )
-            if seq is not None:
-                placement.answered_seq = seq
-                machine.launches.note_answer(placement.launch, seq, self.owner.now)
-            else:
-                machine.launches.note_call(placement.launch)
-        return orders
-
-    def _stop_and_reap_orders(self, machine: Machine) -> list[worker_protocol.WorkerCommand]:
-        """Commands to stop tasks and to forget exited ones."""
-        orders: list[worker_protocol.WorkerCommand] = []
-        for placement in machine.tasks.values():
-            task, attempt = placement.launch
-            if placement.state == worker_protocol.EXITED:
-                if self.can_reap(placement):
-                    orders.append(
-                        worker_protocol.WorkerCommand(worker_protocol.REAP, task, attempt)
-                    )
-                continue
-            grace_s = placement.stop_grace_s
-            if grace_s is None or placement.state == LAUNCH_SENT:
-                continue
-            if placement.state != worker_protocol.SAVING or grace_s == 0:
-                orders.append(
-                    worker_protocol.WorkerCommand(worker_protocol.HALT, task, attempt, grace_s)
-                )
-        for (task, attempt), state in machine.unknown_tasks.items():
-            if state != worker_protocol.EXITED:
-                orders.append(
-                    worker_protocol.WorkerCommand(worker_protocol.HALT, task, attempt, 0.0)
-                )
-            elif not machine.launches.may_arrive((task, attempt), self.owner.now):
-                orders.append(worker_protocol.WorkerCommand(worker_protocol.REAP, task, attempt))
-        return orders
-
-    def mark_urgent(self, machine: Machine) -> None:
-        """Have a machine's commands sent directly, without waiting for its next report."""
-        self.urgent_machines[machine.name] = machine
-
-    def send_urgent_commands(self, now: float) -> None:
-        """Send urgent commands directly to workers; the answer to the next report repeats them."""
-        owner = self.owner
-        if not owner.leadership.may_act(now):
-            return
-        for machine in list(self.urgent_machines.values()):
-            shard = owner.held_shards.get(machine.record.shard)
-            if shard is None or shard.yielding or not machine.tasks_known or not machine.addr:
-                del self.urgent_machines[machine.name]
-                continue
-            if machine.open_call_count:
-                continue
-            del self.urgent_machines[machine.name]
-            orders = self.orders_for(machine, None)
-            if not orders:
-                continue
-            token = max(shard.term, machine.stamp)
-            machine.open_call_count += 1
-            owner.call(
-                machine.addr,
-                "POST",
-                "/commands",
-                worker_protocol.DirectCommands(token, machine.session, orders),
-                self.call_timeout_s,
-                self._direct_command_callback(machine, orders, token),
-            )
-
-    def _direct_command_callback(
-        self, machine: Machine, orders: list[worker_protocol.WorkerCommand], token: int
-    ) -> ResponseHandler:
-        # A later session or holder has a tracker of its own.
-        launches = machine.launches
-        sent_launches = [
-            (order.task, order.attempt) for order in orders if order.op == worker_protocol.LAUNCH
-        ]
-
-        def done(status: int | None, body: bytes) -> None:
-            owner = self.owner
-            machine.open_call_count -= 1
-            machine.quiescent = False
-            outcome_known = status in (200, 409, 400, 0)
-            for launch in sent_launches:
-                if outcome_known:
-                    launches.note_response(launch)
-                else:
-                    # It may still be executed until the worker has seen a higher token.
-                    launches.note_no_response(launch, token, owner.now)
-                    self.uncertain_launches.add(machine)
-            if status not in (200, 409) or owner.machines.get(machine.name) is not machine:
-                return
-            report = decode_answer(body, worker_protocol.Report)
-            shard = owner.held_shards.get(machine.record.shard)
-            if report is None or shard is None or report.machine != machine.name:
-                return
-            try:
-                reported_tasks = worker_protocol.decode_task_reports(report.tasks)
-            except (msgspec.MsgspecError, UnicodeDecodeError):
-                return
-            if self._is_newest(machine, report):
-                self.apply_report(
-                    machine, report, reported_tasks, max(shard.term, machine.stamp), via_hello=False
-                )
-
-        return done
-
-    def stop_task(self, placement: Placement, grace_s: float, stopped_for: str) -> None:
-        """Stop a task; a later call can only shorten its grace period."""
-        if placement.state == worker_protocol.EXITED:
-            return
-        if placement.stop_grace_s is not None and placement.stop_grace_s <= grace_s:
-            return
-        if placement.stop_grace_s is None:
-            placement.stop_requested_at = self.owner.now
-            log.info(
-                "stop task=%s attempt=%d machine=%s for=%s",
-                placement.task,
-                placement.attempt,
-                placement.machine.name,
-                stopped_for,
-            )
-        placement.stop_grace_s = grace_s
-        placement.stopped_for = stopped_for
-        self.owner.ledger.mark_stopping(placement)
-        self.mark_urgent(placement.machine)
-        self.owner.pass_needed = True
