Answers that renew a worker's lease carry every stop known to be due for the report

What callers saw: `ran_cancelled`.

Cause: the first answer of a new holder renewed the worker's lease and carried no command, since a list of tasks that was reported under a lower token may lack tasks, and was therefore not looked at. The stop came with the answer to the next report. If the holder ended before that, the next holder did the same. An action on stale knowledge turned round: knowledge that is incomplete was treated as none.

Change: one place renews leases (`Workers._renew_lease`), and where the report's list is not applied (reported under a lower token, or overtaken by a direct command), `stops_due` finds the stops for the tasks that it shows: their job is over or cancelled elsewhere, the shard has no claim on them, or they were told to stop before. A task that is shown is there, whatever the list lacks, and a stop names one attempt, so this is safe under any token. Nothing else is concluded from such a list, and no answer is withheld: healthy tasks keep their lease. A task of a job that a peer has reported as cancelled is stopped too if it only becomes known later.

The lab's checker holds the property at each renewed lease: `renewed_cancelled` if a task of the report goes on though its job was cancelled longer ago than a controller's lease and the 4 s of an answer.

Log: `lease renewed machine=... token=... shown=... stops=... applied=... read_age=...` for each answer to a list under a lower token and each that carries such stops.

--- a/sagecove/coordination/worker_commands.py
+++ b/sagecove/coordination/worker_commands.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
 from sagecove.coordination.interfaces import BaseContext, ResponseCallback
@@ -86,14 +86,21 @@
         return bool(job.finished >> placement.index & 1)
 
     def commands_for(
-        self, machine: Machine, seq: int | None
+        self,
+        machine: Machine,
+        seq: int | None,
+        due_stops: Sequence[worker_protocol.WorkerCommand] = (),
     ) -> list[worker_protocol.WorkerCommand]:
         """Commands for a worker, to answer report number `seq` or, if None, to be sent directly.
 
-        The launches among them count as under way from now on.
+        `due_stops` are stops that are due beside those of the known tasks. The launches among the
+        commands count as under way from now on.
         """
         # Bounded, so that an answer stays far below the protocol's limit of 64 KiB.
-        orders = self._stop_and_reap_orders(machine)[:MAX_STOP_ORDERS_COUNT]
+        orders = self._stop_and_reap_orders(machine)
+        if due_stops:
+            orders = [*due_stops, *(order for order in orders if order not in due_stops)]
+        orders = orders[:MAX_STOP_ORDERS_COUNT]
         for placement in list(machine.tasks.values()):
             if len(orders) >= MAX_ORDERS_COUNT:
                 break
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -20,6 +20,7 @@
 from sagecove.coordination.launch_tracker import LaunchTracker
 from sagecove.coordination.model import LAUNCH_SENT, Machine, Placement
 from sagecove.coordination.reachability import Reachability
+from sagecove.coordination.stops_due import find_claimed_job, find_due_stops, parse_task_name
 from sagecove.coordination.uncertain_launches import UncertainLaunches
 from sagecove.coordination.worker_commands import WorkerCommands
 from sagecove.protocol import workers as worker_protocol
@@ -38,12 +39,6 @@
 HINT_FRESH_S = 2.5
 
 
-def parse_task_name(task: str) -> tuple[str, int]:
-    """Split a task's name into job id and task number; the number is -1 if there is none."""
-    job, _, number = task.rpartition("/")
-    return (job, int(number)) if number.isdecimal() and len(number) < 7 else (task, -1)
-
-
 class Workers:
     """Processes reports of workers and sends commands to them."""
 
@@ -122,8 +117,9 @@
                 Reply(exchange, 503, Refusal("the worker does not receive answers"))
             )
             return
+        list_applied = False
         if self._is_newest(machine, report):
-            self.apply_report(machine, report, reported_tasks, token, via_hello=True)
+            list_applied = self.apply_report(machine, report, reported_tasks, token, via_hello=True)
             machine.last_hello_seq = report.seq
         elif (
             report.session != machine.session
@@ -146,12 +142,53 @@
             return
         # A report that is neither newest nor out of date was overtaken by the response to a direct
         # command: its task list is old, but the worker still waits for this answer.
+        due_stops: list[worker_protocol.WorkerCommand] = []
+        if not list_applied:
+            due_stops = self._find_stops_in_unapplied_list(machine, report, reported_tasks, token)
+        self._renew_lease(machine, report, exchange, token, due_stops)
+
+    def _find_stops_in_unapplied_list(
+        self,
+        machine: Machine,
+        report: worker_protocol.Report,
+        reported_tasks: list[worker_protocol.TaskReport] | None,
+        token: int,
+    ) -> list[worker_protocol.WorkerCommand]:
+        """Return the stops due for a report whose list of tasks changes no state here."""
+        owner = self.owner
+        if reported_tasks is None:
+            reported_tasks = worker_protocol.decode_task_reports(report.tasks)
+        due_stops = find_due_stops(owner.jobs, machine, reported_tasks)
+        if due_stops or report.token < token:
+            log.info(
+                "lease renewed machine=%s shard=%s token=%d shown=%d session=%d seq=%d tasks=%d"
+                " stops=%s applied=%d read_age=%.1f",
+                *(machine.name, machine.record.shard, token, report.token),
+                *(report.session, report.seq, len(reported_tasks)),
+                ",".join(f"{stop.task}@{stop.attempt}" for stop in due_stops) or "-",
+                *(owner.mirror.applied, owner.now - owner.sync.synced_at),
+            )
+        return due_stops
+
+    def _renew_lease(
+        self,
+        machine: Machine,
+        report: worker_protocol.Report,
+        exchange: object,
+        token: int,
+        due_stops: list[worker_protocol.WorkerCommand],
+    ) -> None:
+        """Answer a report, which renews the worker's lease; nothing else does.
+
+        `due_stops` are the stops for tasks of the report that are not among the known ones.
+        """
+        owner = self.owner
         machine.launches.note_report(report.seq)
-        machine.last_answer_at = now
+        machine.last_answer_at = owner.now
         machine.answered_seq, machine.answered_token = report.seq, token
-        orders: list[worker_protocol.WorkerCommand] = []
+        orders = due_stops
         if machine.tasks_known and not machine.quiescent:
-            orders = self.commands.commands_for(machine, report.seq)
+            orders = self.commands.commands_for(machine, report.seq, due_stops)
             machine.quiescent = not orders and self._has_nothing_due(machine)
         owner.effects.append(Reply(exchange, 200, worker_protocol.ReportAnswer(token, orders)))
         self.commands.urgent_machines.pop(machine.name, None)
@@ -366,9 +403,11 @@
         reported_tasks: list[worker_protocol.TaskReport] | None,
         token: int,
         via_hello: bool,
-    ) -> None:
+    ) -> bool:
         """Apply a report that is newer than all seen of this machine.
 
+        Returns whether its list of tasks was applied, which it is once the worker shows `token`:
+        until then commands of an earlier holder may still arrive and change the list.
         `reported_tasks` is None if the list is the same as last time and the machine quiescent.
         `via_hello` is false for a report that came in the response to a direct command.
         """
@@ -409,9 +448,9 @@
             machine.quiescent = False
             if via_hello:
                 self.reachability.check_answers_received(now, machine, report.seq, token)
-            return
+            return False
         if reported_tasks is None and machine.quiescent and machine.unreachable_since is None:
-            return
+            return True
         if reported_tasks is None:
             reported_tasks = worker_protocol.decode_task_reports(report.tasks)
         machine.quiescent = False
@@ -456,6 +495,7 @@
         if first_list:
             owner.shards.resolve_machine(machine)
         owner.pass_needed = True
+        return True
 
     def _apply_direct_response(self, machine: Machine, body: bytes) -> None:
         """Apply the report in a worker's response to direct commands."""
@@ -482,16 +522,12 @@
         self, machine: Machine, reported: worker_protocol.TaskReport
     ) -> Placement | None:
         """Adopt a reported task that an earlier holder placed; None if it can't be such a task."""
-        job_id, index = parse_task_name(reported.task)
-        job = self.owner.jobs.get(job_id)
-        if job is None or index < 0:
-            return None
-        if not job.claims.get(machine.record.shard, 0) >> index & 1:
-            return None
-        if index in job.placed:
+        job = find_claimed_job(self.owner.jobs, machine.record.shard, reported.task)
+        if job is None:
             return None
         if reported.state == worker_protocol.EXITED and reported.why != worker_protocol.EXIT_DONE:
             return None
+        _, index = parse_task_name(reported.task)
         placement = Placement(job, index, reported.task, reported.attempt, machine)
         placement.started_at = self.owner.now
         self.owner.ledger.add_placement(machine, placement)
@@ -501,6 +537,8 @@
             if len(job.placed) > 1:
                 job.gang_stopping = True
             job.attempt = max(job.attempt, reported.attempt)
+        if job.cancelled_elsewhere:
+            self.commands.stop_task(placement, 0.0, "cancelled elsewhere")
         return placement
 
     def _apply_task_state(
--- a/sagecove/lab/fakes.py
+++ b/sagecove/lab/fakes.py
@@ -52,6 +52,9 @@
     def task_started(self, worker: "FakeWorker", task: str) -> None:
         """Record that a task has started, and check the rules."""
 
+    def lease_renewed(self, worker: "FakeWorker", reported_attempts: dict[str, int]) -> None:
+        """Check what an answer that renewed the worker's lease left of the reported tasks."""
+
 
 class FakeStateService:
     """The state service: conditional transactions, leases, watches and outages."""
@@ -394,6 +397,7 @@
         self.report_in_flight = True
         sent_at = self.environment.now
         session = self.session
+        reported_attempts = {task: self.tasks[task]["try"] for task in self.live_tasks()}
 
         def answer(status: int | None, body: bytes) -> None:
             if self.dead or session != self.session:
@@ -404,6 +408,7 @@
                     self.token = message["brand"]
                     self.lease_started_at = sent_at
                     self.execute_orders(message["orders"])
+                    self.environment.lease_renewed(self, reported_attempts)
             elif (
                 status == 421
                 and json.loads(body).get("foreman") in self.environment.controller_names()
--- a/sagecove/lab/loopback.py
+++ b/sagecove/lab/loopback.py
@@ -155,6 +155,10 @@
         """Check a task start; if it breaks a rule, that is recorded and the task starts anyway."""
         self._run_checked(lambda: RuleChecker.task_started(self, worker, task))
 
+    def lease_renewed(self, worker: FakeWorker, reported_attempts: dict[str, int]) -> None:
+        """Check what an answer left of the reported tasks, and report broken rules."""
+        self._run_checked(lambda: RuleChecker.lease_renewed(self, worker, reported_attempts))
+
     def controller_names(self) -> list[str]:
         """Return the names of the controllers."""
         return [node.name for node in self.processes]
--- a/sagecove/lab/rule_checker.py
+++ b/sagecove/lab/rule_checker.py
@@ -17,6 +17,9 @@
 SERVED_WITHIN_S = 240.0
 WAITING_LIMIT_S = 90.0
 MIN_SERVED_SHARE = 0.5
+# A controller may not know of a cancellation for the length of its own lease, and workers take an
+# answer up to 4 s after it was decided.
+STOP_DUE_AFTER_S = 0.65 * LEASE_S + 4.0
 # Fields that every submission must have; fields that may be null may also be left out.
 REQUIRED_FIELDS = set(job_submission(0)) - {"breeds", "range", "dueS"}
 
@@ -108,6 +111,20 @@
             self.starts_after_cancel.append((task, self.now - self.cancelled_at[job_id]))
         self._check_cancelled(job_id)
 
+    def lease_renewed(self, worker: FakeWorker, reported_attempts: dict[str, int]) -> None:
+        """Check that an answer that renewed a worker's lease stopped the cancelled jobs' tasks.
+
+        `reported_attempts` are the tasks, with their attempts, of the report that was answered.
+        """
+        for task, attempt in reported_attempts.items():
+            entry = worker.tasks.get(task)
+            cancelled_at = self.cancelled_at.get(task.split("/")[0])
+            if entry is None or cancelled_at is None or entry["try"] != attempt:
+                continue
+            goes_on = entry["standing"] not in ("exited", "saving")
+            if goes_on and self.now - cancelled_at > STOP_DUE_AFTER_S:
+                raise RuleViolation(f"renewed_cancelled {task} on {worker.name}")
+
     def _check_cancelled(self, job_id: str) -> None:
         if job_id in self.cancelled_at and self.now - self.cancelled_at[job_id] > CANCEL_S:
             raise RuleViolation(f"ran_cancelled {job_id}")
--- a/sagecove/protocol/workers.py
+++ b/sagecove/protocol/workers.py
@@ -85,6 +85,11 @@
     grace_s: float | None = None
 
 
+def halt(task: str, attempt: int, grace_s: float) -> WorkerCommand:
+    """Return the command to stop a task, which may take up to `grace_s` seconds to save."""
+    return WorkerCommand(HALT, task, attempt, grace_s)
+
+
 class ReportAnswer(msgspec.Struct, rename={"token": "brand"}):
     """The answer to a report."""
 
