Stops are not cut from an answer that renews a lease; long answers have several lines

What callers saw: nothing in the records; found while looking for other answers that renew a lease without the stops that are due.

Cause: stops and reaps shared one bound of 200 commands, in the order of the report. The bound kept answers below 64 KiB, which PROTOCOL asks of each line, not of the whole answer.

Change: in an answer, stops come first and are not bounded; reaps and launches keep their bounds beside them. An answer of more than 64 KiB has a line for each command. Direct commands keep the bound for stops too: a request may have 64 KiB, and renews no lease.

--- a/sagecove/coordination/worker_commands.py
+++ b/sagecove/coordination/worker_commands.py
@@ -17,9 +17,10 @@
 
 log = logging.getLogger("sagecove.workers")
 
-# At most this many commands in one message, and stops and reaps among them.
-MAX_ORDERS_COUNT = 400
-MAX_STOP_ORDERS_COUNT = 200
+# At most this many commands in one message, and stops and reaps among them. Stops in the answer to
+# a report are not bounded.
+MAX_COMMANDS_COUNT = 400
+MAX_STOPS_AND_REAPS_COUNT = 200
 
 
 class Authority(Protocol):
@@ -96,13 +97,15 @@
         `due_stops` are stops that are due beside those of the known tasks. The launches among the
         commands count as under way from now on.
         """
-        # Bounded, so that an answer stays far below the protocol's limit of 64 KiB.
-        orders = self._stop_and_reap_orders(machine)
+        stops, reaps = self._stops_and_reaps(machine)
         if due_stops:
-            orders = [*due_stops, *(order for order in orders if order not in due_stops)]
-        orders = orders[:MAX_STOP_ORDERS_COUNT]
+            stops = [*due_stops, *(stop for stop in stops if stop not in due_stops)]
+        if seq is None:
+            # A request may have 64 KiB; unlike an answer, it renews no lease.
+            del stops[MAX_STOPS_AND_REAPS_COUNT:]
+        orders = stops + reaps[: max(0, MAX_STOPS_AND_REAPS_COUNT - len(stops))]
         for placement in list(machine.tasks.values()):
-            if len(orders) >= MAX_ORDERS_COUNT:
+            if len(orders) >= MAX_COMMANDS_COUNT:
                 break
             if (
                 placement.state != LAUNCH_SENT
@@ -123,32 +126,28 @@
                 machine.launches.note_call(placement.launch)
         return orders
 
-    def _stop_and_reap_orders(self, machine: Machine) -> list[worker_protocol.WorkerCommand]:
-        """Commands to stop tasks and to forget exited ones."""
-        orders: list[worker_protocol.WorkerCommand] = []
+    def _stops_and_reaps(
+        self, machine: Machine
+    ) -> tuple[list[worker_protocol.WorkerCommand], list[worker_protocol.WorkerCommand]]:
+        """Return the commands to stop tasks, and those to forget exited ones."""
+        stops: list[worker_protocol.WorkerCommand] = []
+        reaps: list[worker_protocol.WorkerCommand] = []
         for placement in machine.tasks.values():
-            task, attempt = placement.launch
             if placement.state == worker_protocol.EXITED:
                 if self.can_reap(placement):
-                    orders.append(
-                        worker_protocol.WorkerCommand(worker_protocol.REAP, task, attempt)
-                    )
+                    reaps.append(worker_protocol.reap(*placement.launch))
                 continue
             grace_s = placement.stop_grace_s
             if grace_s is None or placement.state == LAUNCH_SENT:
                 continue
             if placement.state != worker_protocol.SAVING or grace_s == 0:
-                orders.append(
-                    worker_protocol.WorkerCommand(worker_protocol.HALT, task, attempt, grace_s)
-                )
-        for (task, attempt), state in machine.unknown_tasks.items():
+                stops.append(worker_protocol.halt(*placement.launch, grace_s))
+        for launch, state in machine.unknown_tasks.items():
             if state != worker_protocol.EXITED:
-                orders.append(
-                    worker_protocol.WorkerCommand(worker_protocol.HALT, task, attempt, 0.0)
-                )
-            elif not machine.launches.may_arrive((task, attempt), self.context.now):
-                orders.append(worker_protocol.WorkerCommand(worker_protocol.REAP, task, attempt))
-        return orders
+                stops.append(worker_protocol.halt(*launch, 0.0))
+            elif not machine.launches.may_arrive(launch, self.context.now):
+                reaps.append(worker_protocol.reap(*launch))
+        return stops, reaps
 
     def mark_urgent(self, machine: Machine) -> None:
         """Have a machine's commands sent directly, without waiting for its next report."""
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -190,7 +190,8 @@
         if machine.tasks_known and not machine.quiescent:
             orders = self.commands.commands_for(machine, report.seq, due_stops)
             machine.quiescent = not orders and self._has_nothing_due(machine)
-        owner.effects.append(Reply(exchange, 200, worker_protocol.ReportAnswer(token, orders)))
+        answer = worker_protocol.answer_body(worker_protocol.ReportAnswer(token, orders))
+        owner.effects.append(Reply(exchange, 200, answer))
         self.commands.urgent_machines.pop(machine.name, None)
 
     def _handle_foreign_report(
--- a/sagecove/protocol/workers.py
+++ b/sagecove/protocol/workers.py
@@ -90,6 +90,11 @@
     return WorkerCommand(HALT, task, attempt, grace_s)
 
 
+def reap(task: str, attempt: int) -> WorkerCommand:
+    """Return the command to forget an exited task."""
+    return WorkerCommand(REAP, task, attempt)
+
+
 class ReportAnswer(msgspec.Struct, rename={"token": "brand"}):
     """The answer to a report."""
 
@@ -97,6 +102,19 @@
     orders: list[WorkerCommand]
 
 
+# The longest line that workers read.
+MAX_LINE_BYTES = 64 * 1024
+
+
+def answer_body(answer: ReportAnswer) -> ReportAnswer | msgspec.Raw:
+    """Return the body to send for an answer: a long one has a line for each command."""
+    encode = msgspec.json.encode
+    if not answer.orders or len(encode(answer)) <= MAX_LINE_BYTES:
+        return answer
+    lines = b",\n".join(encode(order) for order in answer.orders)
+    return msgspec.Raw(b'{"brand":%d,"orders":[\n%b]}' % (answer.token, lines))
+
+
 class DirectCommands(msgspec.Struct, rename={"token": "brand", "session": "ride"}):
     """Commands that a controller sends to a worker outside the answer to a report."""
 
--- a/tests/test_repeated_takeovers.py
+++ b/tests/test_repeated_takeovers.py
@@ -4,12 +4,14 @@
 does not stop runs on for as long as controllers go on ending.
 """
 
+from typing import Any
+
 import pytest
 
 from sagecove.coordination import workers
 from sagecove.coordination.stops_due import find_due_stops
 from sagecove.lab.deployment import CANCEL_S, job_submission
-from sagecove.lab.fakes import FakeWorker
+from sagecove.lab.fakes import AnswerCallback, FakeWorker
 from sagecove.lab.rule_checker import RuleViolation
 from sagecove.lab.world import World
 from sagecove.protocol.workers import TaskReport
@@ -124,3 +126,37 @@
     assert stopped() == expected - {(f"{CANCELLED}/0", 0.0)}
     owner.jobs[OTHER].cancelled_elsewhere = True
     assert stopped() == expected - {(f"{CANCELLED}/0", 0.0)} | {(f"{OTHER}/0", 0.0)}
+
+
+@pytest.mark.parametrize("new_holder", [False, True])
+def test_answer_with_many_reaps_carries_every_stop(new_holder: bool) -> None:
+    # Guards against stops that are cut from an answer, and against lines of more than 64 KiB.
+    world, worker = world_with_services(1)
+    if new_holder:
+        world.kill_node("n0")
+    for number in range(1150):
+        standing = "exited" if number < 250 else "running"
+        task = {"try": 2**52 + number, "standing": standing, "cause": "stopped"}
+        worker.tasks[f"run-9{number:05d}/0"] = {**task, "spec": world.specs[OTHER]}
+        world.specs[f"run-9{number:05d}"] = world.specs[OTHER] | {"outfit": "guests"}
+    line_lengths: list[int] = []
+    send = world.request_controller
+
+    def send_and_record(
+        node: str, method: str, path: str, body: Any, answer: AnswerCallback
+    ) -> None:
+        def record(status: int | None, raw: bytes) -> None:
+            if status == 200:
+                line_lengths.extend(len(line) for line in raw.split(b"\n"))
+            answer(status, raw)
+
+        send(node, method, path, body, record)
+
+    world.request_controller = send_and_record  # type: ignore[method-assign]
+    worker.direct_commands_blocked = True
+    if new_holder:
+        world.start_node(0)
+    world.run_until(lambda: bool(line_lengths), 20)
+    world.run(0.1)
+    assert sorted(worker.live_tasks()) == [f"{CANCELLED}/0", f"{OTHER}/0"]
+    assert max(line_lengths) <= 64 * 1024
