--- a/tests/test_held_messages.py
+++ b/tests/test_held_messages.py
@@ -8,6 +8,7 @@
 `python -m bench.held_messages FIRST LAST` plays more seeds.
 """
 
+from collections.abc import Callable
 from random import Random
 
 import pytest
@@ -155,16 +156,7 @@
 
     def play(self) -> None:
         """Play the faults, mend them, and wait until each accepted job has ended."""
-        steps = [self.submit] * 10 + [self.report_now] * 2 + [self.cancel] * 2
-        rare_steps = [
-            self.end_session,
-            self.cut_worker_from_node,
-            self.end_controller,
-            self.pause_controller,
-            self.stop_state_service,
-            self.lose_transactions,
-        ]
-        steps += self.random.sample(rare_steps, self.random.randrange(4))
+        steps = self.choose_steps()
         started_at = self.world.now
         while self.world.now - started_at < FAULTS_S:
             self.random.choice(steps)()
@@ -177,6 +169,19 @@
         self._wait_until_jobs_end()
         assert self.world.repeated_attempts == []
 
+    def choose_steps(self) -> list[Callable[[], None]]:
+        """Draw the steps of this history; those that occur more often are listed more often."""
+        steps = [self.submit] * 10 + [self.report_now] * 2 + [self.cancel] * 2
+        rare_steps = [
+            self.end_session,
+            self.cut_worker_from_node,
+            self.end_controller,
+            self.pause_controller,
+            self.stop_state_service,
+            self.lose_transactions,
+        ]
+        return steps + self.random.sample(rare_steps, self.random.randrange(4))
+
     def _wait_until_jobs_end(self) -> None:
         self.world.run(16)
         for number in range(self.world.node_count):
