Log which term, token and reading of the state an answer to a worker rested on

The records of the incident could not tell why an answer carried no stop: the logs named shards gained, starts and stops, not the answers to reports, the tasks that were stopped for want of a claim, or why reports were refused.

New lines: `stop unknown task=...` with token and applied revision, `events ...` every 10 s with counts by name (leases renewed, lists under a lower token or overtaken, refusals of reports by reason, and the counts of throttling and conflicts that were kept but shown nowhere); `shard gained` also tells the applied revision and how old the last read is, `cancelled` the revision. All at info; the first two are rare, the third is one line.

Refusals of reports go through `Workers._refuse`, which stood nine times.

--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -17,6 +17,7 @@
 from sagecove.coordination.claims.scheduling_pass import SchedulingPass
 from sagecove.coordination.effects import CallResult, Command, Effect, OutgoingCall
 from sagecove.coordination.estimates import Estimates
+from sagecove.coordination.event_counts import EventCounts
 from sagecove.coordination.failures import FailureTracker
 from sagecove.coordination.handover.room_requests import RoomRequests
 from sagecove.coordination.images import Images
@@ -93,7 +94,7 @@
         # Rentals with a durable record whose answer is not recorded yet.
         self.rentals: dict[str, Item] = {}
         self.held_shards: dict[str, Shard] = {}
-        self.event_counts: dict[str, int] = {}
+        self.event_counts = EventCounts()
         self.pass_needed = True
         # A job was added or removed: the next pass recomputes which jobs are within guarantees.
         self.jobs_changed = True
@@ -170,9 +171,7 @@
             # the time after the pause; peers' reports and workers' silence are out of date.
             log.info("stood still seconds=%.1f", now - self.now)
             self.running_since = now
-            self.peers.hints.clear()
-            self.peers.hint_parts.clear()
-            self.peers.room_shortages.clear()
+            self.peers.forget_hints()
             self.leadership.peer_promises.clear()
         self.now = now
         self._wall_offset = wall - now
@@ -220,7 +219,7 @@
 
     def count(self, event: str) -> None:
         """Increment the metric of an event."""
-        self.event_counts[event] = self.event_counts.get(event, 0) + 1
+        self.event_counts.add(event)
 
     def _tick(self, now: float) -> None:
         if not self.mirror.loaded:
@@ -238,6 +237,7 @@
         if self.leadership.provisioner_term:
             self.maintenance.log_long_waits(now)
         self.task_end_log.tick(now)
+        self.event_counts.tick(now)
         if self.mirror.loaded and now - self.sync.synced_at > self.leadership.lease_s / 8:
             self.sync.request_sync()
         for feature in self.features:
--- a/sagecove/coordination/peers.py
+++ b/sagecove/coordination/peers.py
@@ -68,6 +68,12 @@
         # By shard: until when some of its machines are to be drained.
         self.draining_until: dict[str, float] = {}
 
+    def forget_hints(self) -> None:
+        """Drop what peers have told, as it is out of date."""
+        self.hints.clear()
+        self.hint_parts.clear()
+        self.room_shortages.clear()
+
     def send_hints(self, now: float) -> None:
         """Send a hint to all peers, about once a second."""
         if now < self.next_hint_at:
--- a/sagecove/coordination/shards.py
+++ b/sagecove/coordination/shards.py
@@ -70,7 +70,11 @@
                 if bits := job.claimed(shard.name):
                     job.possibly_running[shard.name] = bits
         self.owner.ledger.open_shard(shard, jobs)
-        log.info("shard gained shard=%s term=%d machines=%d", shard.name, shard.term, len(machines))
+        log.info(
+            "shard gained shard=%s term=%d machines=%d applied=%d read_age=%.1f",
+            *(shard.name, shard.term, len(machines), self.owner.mirror.applied),
+            self.owner.now - self.owner.sync.synced_at,
+        )
         self.owner.pass_needed = True
 
     def lose_shard(self, name: str) -> None:
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -388,7 +388,7 @@
 
         def done(result: Result) -> None:
             if result.outcome is Outcome.DONE:
-                log.info("cancelled job=%s", job.id)
+                log.info("cancelled job=%s revision=%d", job.id, result.revision)
                 owner.peers.announce_cancellation(job.id)
                 self.reply(exchange, 200, api.JobStatus(job.id, api.CANCELLED))
             elif result.outcome is Outcome.CONFLICT:
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -95,7 +95,7 @@
         now = owner.now
         if machine is None:
             if not self._adopt(report, body, exchange):
-                owner.effects.append(Reply(exchange, 503, Refusal("machine is not known yet")))
+                self._refuse(exchange, "machine is not known yet")
             return
         shard = owner.held_shards.get(machine.record.shard)
         if shard is None or shard.yielding or not owner.leadership.may_act(now):
@@ -106,16 +106,12 @@
             elif holder != owner.settings.node and holder is not None and not relayed:
                 self._handle_foreign_report(machine, holder, report, body, exchange)
             else:
-                owner.effects.append(
-                    Reply(exchange, 503, Refusal("this controller may not act for the shard now"))
-                )
+                self._refuse(exchange, "this controller may not act for the shard now")
             return
         token = max(shard.term, machine.stamp)
         if now < machine.unanswered_until:
             machine.last_report_at = now
-            owner.effects.append(
-                Reply(exchange, 503, Refusal("the worker does not receive answers"))
-            )
+            self._refuse(exchange, "the worker does not receive answers")
             return
         list_applied = False
         if self._is_newest(machine, report):
@@ -133,12 +129,12 @@
                 self.reachability.request_current_report(
                     machine, report.addr, lambda: self._fence_after_restart(machine)
                 )
-            owner.effects.append(Reply(exchange, 503, Refusal("report is out of date")))
+            self._refuse(exchange, "report is out of date")
             return
         if token <= machine.fence_token:
             # An old launch under this token may still arrive and would be executed.
             self._raise_token(machine)
-            owner.effects.append(Reply(exchange, 503, Refusal("a new token is needed")))
+            self._refuse(exchange, "a new token is needed")
             return
         # A report that is neither newest nor out of date was overtaken by the response to a direct
         # command: its task list is old, but the worker still waits for this answer.
@@ -159,6 +155,7 @@
         if reported_tasks is None:
             reported_tasks = worker_protocol.decode_task_reports(report.tasks)
         due_stops = find_due_stops(owner.jobs, machine, reported_tasks)
+        owner.count("list under lower token" if report.token < token else "list overtaken")
         if due_stops or report.token < token:
             log.info(
                 "lease renewed machine=%s shard=%s token=%d shown=%d session=%d seq=%d tasks=%d"
@@ -193,6 +190,12 @@
         answer = worker_protocol.answer_body(worker_protocol.ReportAnswer(token, orders))
         owner.effects.append(Reply(exchange, 200, answer))
         self.commands.urgent_machines.pop(machine.name, None)
+        owner.count("lease renewed")
+
+    def _refuse(self, exchange: object, reason: str) -> None:
+        """Answer a report so that it renews no lease; refusals are counted by their reasons."""
+        self.owner.count(f"report refused {reason}")
+        self.owner.effects.append(Reply(exchange, 503, Refusal(reason)))
 
     def _handle_foreign_report(
         self,
@@ -235,7 +238,7 @@
             # This controller's view of the holder is out of date. Two isolated controllers
             # redirected each other's workers back and forth until the workers' leases expired,
             # while a third controller held the shard.
-            owner.effects.append(Reply(exchange, 503, Refusal("the shard's holder is not known")))
+            self._refuse(exchange, "the shard's holder is not known")
             return
         if machine.relaying and now - machine.foreign_report_at < self.worker_settings.lease_s:
             holder_tried = True
@@ -254,9 +257,7 @@
                 owner.effects.append(Reply(exchange, 200, msgspec.Raw(answer)))
             else:
                 machine.relaying = False
-                owner.effects.append(
-                    Reply(exchange, 503, Refusal("the shard's holder did not answer"))
-                )
+                self._refuse(exchange, "the shard's holder did not answer")
 
         # Raw, so that the report is relayed unchanged.
         owner.call(holder_addr, "POST", "/relay", msgspec.Raw(body), self.call_timeout_s / 2, done)
@@ -291,7 +292,7 @@
                 Reply(exchange, 421, worker_protocol.Redirect(owner.random.choice(live)))
             )
         else:
-            owner.effects.append(Reply(exchange, 503, Refusal("the shard's holder is silent")))
+            self._refuse(exchange, "the shard's holder is silent")
 
     def recent_foreign_machines(self, now: float) -> list[str]:
         """Names of other holders' machines that have reported here lately."""
@@ -368,7 +369,7 @@
             if name in owner.machines:
                 self.handle_report(body, exchange)
             else:
-                owner.effects.append(Reply(exchange, 503, Refusal("machine is not known yet")))
+                self._refuse(exchange, "machine is not known yet")
 
         def on_show(status: int | None, answer: bytes) -> None:
             # A delayed copy of a report must not bring back a machine that is gone.
@@ -491,6 +492,7 @@
         if machine.spot_notice:
             self._stop_saving_tasks(machine)
         if machine.unknown_tasks or unknown_tasks:
+            self._log_unknown_tasks(machine, unknown_tasks, token)
             machine.unknown_tasks = unknown_tasks
             owner.ledger.update_machine(machine)
         if first_list:
@@ -498,6 +500,18 @@
         owner.pass_needed = True
         return True
 
+    def _log_unknown_tasks(
+        self, machine: Machine, unknown_tasks: dict[tuple[str, int], str], token: int
+    ) -> None:
+        """Log the tasks that are to be stopped because the shard has no claim on them."""
+        for launch, state in unknown_tasks.items():
+            if state != worker_protocol.EXITED and launch not in machine.unknown_tasks:
+                log.info(
+                    "stop unknown task=%s attempt=%d machine=%s token=%d applied=%d",
+                    *launch,
+                    *(machine.name, token, self.owner.mirror.applied),
+                )
+
     def _apply_direct_response(self, machine: Machine, body: bytes) -> None:
         """Apply the report in a worker's response to direct commands."""
         report = decode_answer(body, worker_protocol.Report)
--- a/tests/test_repeated_takeovers.py
+++ b/tests/test_repeated_takeovers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from sagecove.coordination import workers
+from sagecove.coordination.model import LAUNCH_SENT
 from sagecove.coordination.stops_due import find_due_stops
 from sagecove.lab.deployment import CANCEL_S, job_submission
 from sagecove.lab.fakes import AnswerCallback, FakeWorker
@@ -160,3 +161,52 @@
     world.run(0.1)
     assert sorted(worker.live_tasks()) == [f"{CANCELLED}/0", f"{OTHER}/0"]
     assert max(line_lengths) <= 64 * 1024
+
+
+def test_relayed_first_answer_stops_cancelled_task() -> None:
+    # Guards against a report that reaches the new holder by way of another controller only.
+    world, worker = world_with_services(2)
+    worker.direct_commands_blocked = True
+    holder = holder_of_machine(world, worker)
+    assert holder is not None
+    world.cut_links.add((worker.name, holder))
+    cancel_in_new_process(world, worker)
+    worker.direct_commands_blocked = True
+    token = worker.token
+    world.run_until(lambda: worker.token > token, 20)
+    world.run(0.1)
+    assert worker.node != holder
+    assert worker.live_tasks() == [f"{OTHER}/0"]
+
+
+def test_answer_that_adopts_a_machine_stops_its_unclaimed_tasks() -> None:
+    # Guards against tasks on a machine whose record the state service does not have.
+    world, _ = world_with_services(1)
+    name = world.cloud.start_machine("small", "b", False, boot_s=1.0)
+    world.run_until(lambda: name in world.workers, 5)
+    adopted = world.workers[name]
+    adopted.direct_commands_blocked = False
+    adopted.tasks["run-000099/0"] = {"try": 7, "standing": "running", "cause": "", "spec": None}
+    world.specs["run-000099"] = world.specs[OTHER]
+    world.run_until(lambda: adopted.token > 0, 20)
+    world.run(0.1)
+    assert adopted.live_tasks() == []
+
+
+def test_stop_is_due_for_a_task_that_is_shown_before_its_launch_was_confirmed() -> None:
+    # Guards against "its launch is under way" for a task that the report shows.
+    world, worker = world_with_services(1)
+    (owner,) = world.owners.values()
+    machine = owner.machines[worker.name]
+    placement = machine.tasks[f"{CANCELLED}/0"]
+    placement.state, placement.stop_grace_s = LAUNCH_SENT, 0.0
+
+    def stops(state: str) -> int:
+        report = TaskReport(placement.task, placement.attempt, state)
+        return len(find_due_stops(owner.jobs, machine, [report]))
+
+    assert stops("running") == 1
+    placement.stop_grace_s = 5.0
+    assert (stops("running"), stops("saving")) == (1, 0)
+    placement.stop_grace_s = None
+    assert stops("running") == 0
