Reports of other holders' machines and lost machines move to modules of their own

`foreign_reports` redirects and relays reports of machines that another controller holds, `lost_machines` finds expired leases and machines to be returned.

--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -133,7 +133,7 @@
         self.maintenance = Maintenance(
             self,
             self.shards,
-            self.workers,
+            self.workers.lost_machines,
             self.estimates,
             self.backlog,
             self.limits,
--- a/sagecove/coordination/peers.py
+++ b/sagecove/coordination/peers.py
@@ -105,7 +105,7 @@
             dict(list(shortages.items())[:OTHER_NAMES_COUNT]),
             set(known_machines[self.part_index :: parts]),
             parts,
-            self.owner.workers.recent_foreign_machines(now)[:OTHER_NAMES_COUNT],
+            self.owner.workers.foreign_reports.recent_machines(now)[:OTHER_NAMES_COUNT],
             self.owner.provisioner.machines_to_drain[:OTHER_NAMES_COUNT],
             self.recent_cancellations,
             [job.id for job in self.owner.backlog.active.values() if job.judged_faulty][
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -17,7 +17,9 @@
 from sagecove.config import WORKER_ANSWER_TIMEOUT_S
 from sagecove.coordination import images
 from sagecove.coordination.effects import Reply
+from sagecove.coordination.foreign_reports import ForeignReports
 from sagecove.coordination.launch_tracker import LaunchTracker
+from sagecove.coordination.lost_machines import LostMachines
 from sagecove.coordination.model import LAUNCH_SENT, Machine, Placement
 from sagecove.coordination.reachability import Reachability
 from sagecove.coordination.stops_due import find_claimed_job, find_due_stops, parse_task_name
@@ -25,7 +27,7 @@
 from sagecove.coordination.worker_commands import WorkerCommands
 from sagecove.protocol import workers as worker_protocol
 from sagecove.protocol.users import Refusal
-from sagecove.storage.records import HOLDER_PREFIX, MachineRecord
+from sagecove.storage.records import MachineRecord
 from sagecove.storage.store import Outcome, Result, decode_answer
 
 if TYPE_CHECKING:
@@ -33,10 +35,8 @@
 
 log = logging.getLogger("sagecove.workers")
 
-# When many machines fall silent together, none is returned before this many leases.
-MANY_SILENT_LEASES_COUNT = 6
-# A peer whose last hint is older than this is taken for silent: hints come once a second.
-HINT_FRESH_S = 2.5
+# How long names of deleted machines are remembered: late reports of theirs are not adopted.
+DELETED_KEPT_S = 600.0
 
 
 class Workers:
@@ -61,10 +61,6 @@
         self.adopting_machines: set[str] = set()
         # By machine name: when its record was deleted.
         self.deleted_at: dict[str, float] = {}
-        # By shard: when one of its machines may first be silent or have an expired lease.
-        self.next_check_at: dict[str, float] = {}
-        # By zone: when its machines were last cut off from this controller.
-        self.zone_cut_off_at: dict[str, float] = {}
         # Direct launches without a response, which may still be executed.
         self.uncertain_launches = UncertainLaunches(
             owner, self._raise_token, lambda: owner.sync.connected(), self.lease_expiry_s
@@ -72,7 +68,15 @@
         self.commands = WorkerCommands(
             owner, self.uncertain_launches, self.call_timeout_s, self._apply_direct_response
         )
+        self.foreign_reports = ForeignReports(owner, self.call_timeout_s, self._refuse)
         self.reachability = Reachability(owner, self.lease_expiry_s, self.commands.stop_task)
+        self.lost_machines = LostMachines(
+            owner,
+            self.silence_limit_s,
+            self.lease_expiry_s,
+            self.reachability,
+            self.forget_tasks,
+        )
 
     # -- reports --------------------------------------------------------------------------------
 
@@ -102,9 +106,9 @@
             holder = owner.shards.holder_of(machine.record.shard)
             if holder is None and not relayed:
                 # The holder's lease has expired, and some controller is about to take the shard.
-                self._redirect_to_live_peer(machine, report, exchange)
+                self.foreign_reports.redirect_to_live_peer(machine, report, exchange)
             elif holder != owner.settings.node and holder is not None and not relayed:
-                self._handle_foreign_report(machine, holder, report, body, exchange)
+                self.foreign_reports.handle(machine, holder, report, body, exchange)
             else:
                 self._refuse(exchange, "this controller may not act for the shard now")
             return
@@ -197,111 +201,6 @@
         self.owner.count(f"report refused {reason}")
         self.owner.effects.append(Reply(exchange, 503, Refusal(reason)))
 
-    def _handle_foreign_report(
-        self,
-        machine: Machine,
-        holder: str,
-        report: worker_protocol.Report,
-        body: bytes,
-        exchange: object,
-    ) -> None:
-        """Answer the report of a machine that another controller holds.
-
-        The worker is redirected to the holder. If it has tried the holder and come back, it can't
-        reach the holder but this controller can, so its report is relayed.
-        """
-        owner = self.owner
-        now = owner.now
-        holder_addr = next((p.addr for p in owner.settings.peers if p.node == holder), None)
-        hint = owner.peers.hints.get(holder)
-        holder_reachable = hint is not None and now - hint[0] < HINT_FRESH_S
-        holder_tried = 0.7 < now - machine.redirected_at < self.worker_settings.lease_s
-        # A worker with the holder's present token has been answered by the holder. When two zones
-        # could not reach each other, such workers were redirected back and waited another 4 s for
-        # an answer; then their leases had expired, and their holders had returned them as silent.
-        holder_term = owner.mirror.revision_of(HOLDER_PREFIX + machine.record.shard)
-        holder_tried = holder_tried or report.token >= max(holder_term, machine.stamp)
-        # A holder whose lease outlives its silence is alive and only cut off from its peers.
-        holder_silent = (
-            hint is not None and HINT_FRESH_S <= now - hint[0] < owner.leadership.lease_s + 1.0
-        )
-        if (
-            holder_silent
-            and hint is not None
-            and (holder_tried or owner.peers.machine_reports_to(holder, machine.name))
-        ):
-            # The holder is silent and the worker has tried it: until the shard is taken, going back
-            # would cost the worker another timeout, and with that its lease and its tasks.
-            self._redirect_to_live_peer(machine, report, exchange)
-            return
-        if not holder_reachable and now - owner.sync.synced_at > owner.leadership.lease_s:
-            # This controller's view of the holder is out of date. Two isolated controllers
-            # redirected each other's workers back and forth until the workers' leases expired,
-            # while a third controller held the shard.
-            self._refuse(exchange, "the shard's holder is not known")
-            return
-        if machine.relaying and now - machine.foreign_report_at < self.worker_settings.lease_s:
-            holder_tried = True
-        if not self._note_foreign_report(machine, report):
-            owner.effects.append(Reply(exchange, 421, worker_protocol.Redirect(holder)))
-            return
-        if holder_addr is None or not holder_reachable or not holder_tried:
-            machine.relaying = False
-            machine.redirected_at = now
-            owner.effects.append(Reply(exchange, 421, worker_protocol.Redirect(holder)))
-            return
-        machine.relaying = True
-
-        def done(status: int | None, answer: bytes) -> None:
-            if status == 200:
-                owner.effects.append(Reply(exchange, 200, msgspec.Raw(answer)))
-            else:
-                machine.relaying = False
-                self._refuse(exchange, "the shard's holder did not answer")
-
-        # Raw, so that the report is relayed unchanged.
-        owner.call(holder_addr, "POST", "/relay", msgspec.Raw(body), self.call_timeout_s / 2, done)
-
-    def _note_foreign_report(self, machine: Machine, report: worker_protocol.Report) -> bool:
-        """Record a report of another holder's machine; False for a delayed copy.
-
-        A delayed copy doesn't show that the machine is up: copies kept dead machines from being
-        returned.
-        """
-        order = report.session, report.seq
-        if order <= machine.foreign_report_order:
-            return False
-        machine.foreign_report_order = order
-        machine.foreign_report_at = self.owner.now
-        return True
-
-    def _redirect_to_live_peer(
-        self, machine: Machine, report: worker_protocol.Report, exchange: object
-    ) -> None:
-        """Redirect a worker whose shard has no acting holder to any live controller.
-
-        So it is not waiting at a silent controller when its shard is taken.
-        """
-        owner = self.owner
-        now = owner.now
-        machine.relaying = False
-        self._note_foreign_report(machine, report)
-        live = sorted(n for n, (at, _) in owner.peers.hints.items() if now - at < HINT_FRESH_S)
-        if live:
-            owner.effects.append(
-                Reply(exchange, 421, worker_protocol.Redirect(owner.random.choice(live)))
-            )
-        else:
-            self._refuse(exchange, "the shard's holder is silent")
-
-    def recent_foreign_machines(self, now: float) -> list[str]:
-        """Names of other holders' machines that have reported here lately."""
-        return [
-            m.name
-            for m in self.owner.machines.values()
-            if now - m.foreign_report_at < 2 * self.worker_settings.report_s
-        ]
-
     @staticmethod
     def _is_newest(machine: Machine, report: worker_protocol.Report) -> bool:
         """Return whether a report was sent after all that were seen of this machine.
@@ -624,136 +523,8 @@
         self.owner.ledger.update_machine(machine)
 
     def tick(self, now: float) -> None:
-        """Drop tasks of machines with a surely expired lease; return silent and faulty machines."""
-        owner = self.owner
+        """Look for lost machines, and forget deleted ones after a while."""
         for name, deleted_at in list(self.deleted_at.items()):
-            if now - deleted_at > 600:
+            if now - deleted_at > DELETED_KEPT_S:
                 del self.deleted_at[name]
-        for shard in list(owner.held_shards.values()):
-            if now < self.next_check_at.get(shard.name, 0.0):
-                continue
-            machines = owner.shards.shard_machines(shard.name)
-            # Nothing can be due before the first machine may be silent or have an expired lease:
-            # reports that come in meanwhile only make that later.
-            next_check_at = now + min(self.silence_limit_s, self.lease_expiry_s)
-            for machine in machines:
-                if machine.ever_reported and not machine.record.leaving:
-                    next_check_at = min(
-                        next_check_at, machine.last_report_at + self.silence_limit_s
-                    )
-                if (
-                    machine.tasks
-                    or machine.unknown_tasks
-                    or machine.name in shard.unreported_machines
-                ):
-                    next_check_at = min(next_check_at, machine.last_answer_at + self.lease_expiry_s)
-            self.next_check_at[shard.name] = next_check_at
-            # Time in which this process was not running, or didn't hold the shard, is no silence.
-            reports_expected_since = max(shard.held_since, owner.running_since)
-            silent_machines = [
-                m
-                for m in machines
-                if now - m.last_report_at > self.silence_limit_s and m.ever_reported
-            ]
-            for machine in machines:
-                lease_renewed_at = max(machine.last_answer_at, shard.held_since)
-                if now - lease_renewed_at > self.lease_expiry_s and (
-                    machine.tasks
-                    or machine.unknown_tasks
-                    or machine.name in shard.unreported_machines
-                ):
-                    log.info(
-                        "worker lease over machine=%s tasks=%d heard=%.1f answered=%.1f ever=%d",
-                        machine.name,
-                        len(machine.tasks),
-                        now - machine.last_report_at,
-                        now - machine.last_answer_at,
-                        machine.ever_reported,
-                    )
-                    machine.ended_session = max(machine.ended_session, machine.session)
-                    machine.tasks_known = False
-                    self.forget_tasks(machine)
-                    owner.shards.resolve_machine(machine)
-            if not owner.leadership.may_act(now) or shard.yielding:
-                continue
-            # When many machines fall silent at once, the fault is more likely in this controller or
-            # in the network.
-            reported_machines = [m for m in machines if m.ever_reported]
-            reporting_count = sum(
-                1
-                for m in reported_machines
-                if now - m.last_report_at < 1.5 * self.worker_settings.report_s
-            )
-            many_silent = len(silent_machines) > max(
-                2, len(machines) // 4
-            ) or 2 * reporting_count < len(reported_machines)
-            cut_off_zones = self._find_cut_off_zones(now, machines)
-            for machine in silent_machines:
-                # The wait is bounded: a shard of which most machines had died kept them for ever.
-                allowed_silence_s = self.silence_limit_s
-                if many_silent:
-                    allowed_silence_s = MANY_SILENT_LEASES_COUNT * self.worker_settings.lease_s
-                elif machine.record.zone in cut_off_zones:
-                    allowed_silence_s = max(allowed_silence_s, self.worker_settings.lease_s)
-                if (
-                    now - max(machine.last_report_at, reports_expected_since) > allowed_silence_s
-                    and not machine.record.leaving
-                    and now - machine.peer_report_at > self.silence_limit_s
-                ):
-                    self.mark_for_return(machine, "silent")
-        for name, machine in list(owner.failures.machines_to_return.items()):
-            if owner.machines.get(name) is not machine or machine.return_due_at is None:
-                del owner.failures.machines_to_return[name]
-            elif (
-                now >= machine.return_due_at
-                and not machine.record.leaving
-                and machine.record.shard in owner.held_shards
-                and machine.empty
-            ):
-                self.mark_for_return(machine, "sick")
-        for machine in self.reachability.machines_to_return(now):
-            self.mark_for_return(machine, "does not hear")
-
-    def _find_cut_off_zones(self, now: float, machines: list[Machine]) -> set[str]:
-        """Zones that are cut off from this controller, judged by their silent machines.
-
-        In such a zone many machines miss reports at once: the network to it is at fault, and most
-        of its machines will report by way of another controller.
-        """
-        counts_by_zone: dict[str, list[int]] = {}
-        late_s = 2 * self.worker_settings.report_s
-        for machine in machines:
-            if machine.ever_reported and not machine.record.leaving:
-                counts = counts_by_zone.setdefault(machine.record.zone, [0, 0])
-                counts[0] += 1
-                counts[1] += now - machine.last_report_at > late_s
-        cut_off = {
-            zone
-            for zone, (machine_count, silent_count) in counts_by_zone.items()
-            if silent_count > max(2, machine_count // 4)
-        }
-        for zone in cut_off:
-            self.zone_cut_off_at[zone] = now
-        return {
-            zone for zone, at in self.zone_cut_off_at.items() if now - at < self.silence_limit_s
-        }
-
-    def mark_for_return(self, machine: Machine, reason: str) -> None:
-        """Mark a machine for deletion by the provisioner; nothing is placed on it any more."""
-        owner = self.owner
-        shard = owner.held_shards.get(machine.record.shard)
-        if shard is None or shard.yielding or machine.handing_over:
-            return
-        if machine.committing or owner.now < machine.next_return_try_at:
-            return
-        old = machine.record
-        record = msgspec.structs.replace(old, leaving=reason)
-        machine.committing = True
-        # While the state service refuses writes, one attempt per report interval is enough.
-        machine.next_return_try_at = owner.now + self.worker_settings.report_s
-        log.info("machine to be returned machine=%s why=%s", machine.name, reason)
-
-        def done(result: Result) -> None:
-            machine.committing = False
-
-        owner.put_machine(machine.name, record, machine.stamp, shard, done)
+        self.lost_machines.tick(now)
