--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -160,8 +160,10 @@
             reported_tasks = worker_protocol.decode_task_reports(report.tasks)
         due_stops = find_due_stops(owner.jobs, machine, reported_tasks)
         owner.count("list under lower token" if report.token < token else "list overtaken")
-        if due_stops or report.token < token:
-            log.info(
+        level = logging.INFO if due_stops else logging.DEBUG
+        if log.isEnabledFor(level):
+            log.log(
+                level,
                 "lease renewed machine=%s shard=%s token=%d shown=%d session=%d seq=%d tasks=%d"
                 " stops=%s applied=%d read_age=%.1f",
                 *(machine.name, machine.record.shard, token, report.token),
@@ -194,7 +196,6 @@
         answer = worker_protocol.answer_body(worker_protocol.ReportAnswer(token, orders))
         owner.effects.append(Reply(exchange, 200, answer))
         self.commands.urgent_machines.pop(machine.name, None)
-        owner.count("lease renewed")
 
     def _refuse(self, exchange: object, reason: str) -> None:
         """Answer a report so that it renews no lease; refusals are counted by their reasons."""
--- a/sagecove/protocol/workers.py
+++ b/sagecove/protocol/workers.py
@@ -104,14 +104,22 @@
 
 # The longest line that workers read.
 MAX_LINE_BYTES = 64 * 1024
+# So many commands for tasks with names of so many characters fit into a line, however encoded.
+FEW_COMMANDS_COUNT = 100
+SHORT_NAME_LENGTH = 90
 
 
 def answer_body(answer: ReportAnswer) -> ReportAnswer | msgspec.Raw:
     """Return the body to send for an answer: a long one has a line for each command."""
+    orders = answer.orders
+    if not orders:
+        return answer
+    if len(orders) <= FEW_COMMANDS_COUNT and all(len(o.task) <= SHORT_NAME_LENGTH for o in orders):
+        return answer
     encode = msgspec.json.encode
-    if not answer.orders or len(encode(answer)) <= MAX_LINE_BYTES:
+    if len(encode(answer)) <= MAX_LINE_BYTES:
         return answer
-    lines = b",\n".join(encode(order) for order in answer.orders)
+    lines = b",\n".join(encode(order) for order in orders)
     return msgspec.Raw(b'{"brand":%d,"orders":[\n%b]}' % (answer.token, lines))
 
 
--- a/tests/test_event_counts.py
+++ b/tests/test_event_counts.py
@@ -15,14 +15,14 @@
     counts = EventCounts()
     counts.tick(100.0)
     for _ in range(3):
-        counts.add("lease renewed")
+        counts.add("list overtaken")
     counts.tick(100.0 + LOG_INTERVAL_S / 2)
     counts.tick(100.0 + LOG_INTERVAL_S)
     counts.add("report refused")
     counts.tick(100.0 + 2 * LOG_INTERVAL_S)
     counts.tick(100.0 + 3 * LOG_INTERVAL_S)
     assert [record.getMessage() for record in caplog.records] == [
-        "events lease-renewed=3",
+        "events list-overtaken=3",
         "events report-refused=1",
     ]
-    assert counts.totals == {"lease renewed": 3, "report refused": 1}
+    assert counts.totals == {"list overtaken": 3, "report refused": 1}
--- a/tests/test_repeated_takeovers.py
+++ b/tests/test_repeated_takeovers.py
@@ -6,6 +6,7 @@
 
 from typing import Any
 
+import msgspec
 import pytest
 
 from sagecove.coordination import workers
@@ -15,7 +16,7 @@
 from sagecove.lab.fakes import AnswerCallback, FakeWorker
 from sagecove.lab.rule_checker import RuleViolation
 from sagecove.lab.world import World
-from sagecove.protocol.workers import TaskReport
+from sagecove.protocol.workers import ReportAnswer, TaskReport, answer_body, halt
 
 CANCELLED, OTHER = "run-000001", "run-000002"
 
@@ -210,3 +211,13 @@
     assert (stops("running"), stops("saving")) == (1, 0)
     placement.stop_grace_s = None
     assert stops("running") == 0
+
+
+@pytest.mark.parametrize(("count", "name_length"), [(1, 8), (60, 1100), (100, 90), (1100, 12)])
+def test_no_line_of_an_answer_is_longer_than_a_worker_reads(count: int, name_length: int) -> None:
+    # Guards against few commands with long names, and against many with short ones.
+    names = [f"{number}".ljust(name_length, "\x01") for number in range(count)]
+    answer = ReportAnswer(2**60, [halt(name, 2**60, 0.0) for name in names])
+    encoded = msgspec.json.encode(answer_body(answer))
+    assert max(map(len, encoded.split(b"\n"))) <= 64 * 1024
+    assert msgspec.json.decode(encoded, type=ReportAnswer) == answer
