--- a/sagecove/coordination/inventory.py
+++ b/sagecove/coordination/inventory.py
@@ -16,11 +16,8 @@
 class WorkerTables(Protocol):
     """Interface that the inventory requires of `Workers`."""
 
-    # By machine name: when its record was deleted.
-    deleted_at: dict[str, float]
-
-    def forget_tasks(self, machine: Machine, reason: str) -> None:
-        """Drop all tasks of a machine, as they are gone."""
+    def machine_deleted(self, machine: Machine) -> None:
+        """Drop all tasks of a machine that is gone, and ignore its late reports."""
 
 
 class MachineResolver(Protocol):
@@ -66,9 +63,8 @@
                 del self.context.machines[name]
                 self.leaving.pop(name, None)
                 self.context.machines_by_shard.get(machine.record.shard, {}).pop(name, None)
-                self.workers.deleted_at[name] = self.context.now
                 machine.tasks_known = False
-                self.workers.forget_tasks(machine, "gone")
+                self.workers.machine_deleted(machine)
                 self.shards.resolve_machine(machine)
                 self.ledger.update_machine(machine)
             return
--- a/sagecove/coordination/worker_commands.py
+++ b/sagecove/coordination/worker_commands.py
@@ -226,3 +226,10 @@
         self.context.ledger.mark_stopping(placement)
         self.mark_urgent(placement.machine)
         self.context.pass_needed = True
+
+    def stop_saving_tasks(self, machine: Machine) -> None:
+        """Stop tasks that can save before a spot machine is reclaimed; others may yet complete."""
+        for placement in list(machine.tasks.values()):
+            job = placement.job
+            if job is not None and job.spec.checkpoint_s > 0 and placement.takes_room:
+                self.stop_task(placement, job.grace_s, "spot notice")
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -15,19 +15,18 @@
 import msgspec
 
 from sagecove.config import WORKER_ANSWER_TIMEOUT_S
-from sagecove.coordination import images
 from sagecove.coordination.effects import Reply
 from sagecove.coordination.foreign_reports import ForeignReports
-from sagecove.coordination.launch_tracker import LaunchTracker
 from sagecove.coordination.lost_machines import LostMachines
-from sagecove.coordination.model import LAUNCH_SENT, Machine, Placement
+from sagecove.coordination.machine_adoption import MachineAdoption
+from sagecove.coordination.model import LAUNCH_SENT, Machine
 from sagecove.coordination.reachability import Reachability
-from sagecove.coordination.stops_due import find_claimed_job, find_due_stops, parse_task_name
+from sagecove.coordination.stops_due import find_due_stops
+from sagecove.coordination.task_states import TaskStates
 from sagecove.coordination.uncertain_launches import UncertainLaunches
 from sagecove.coordination.worker_commands import WorkerCommands
 from sagecove.protocol import workers as worker_protocol
 from sagecove.protocol.users import Refusal
-from sagecove.storage.records import MachineRecord
 from sagecove.storage.store import Outcome, Result, decode_answer
 
 if TYPE_CHECKING:
@@ -45,20 +44,17 @@
     def __init__(self, owner: Owner) -> None:
         self.owner = owner
         worker_settings = owner.settings.params.workers
-        self.worker_settings = worker_settings
         drift = 1 + owner.settings.clock_drift_ratio
         # This long after the last answer a worker's lease has surely expired. Half a report's time
         # covers clock steps and network delay.
         self.lease_expiry_s = worker_settings.lease_s * drift + worker_settings.report_s / 2
-        self.call_timeout_s = WORKER_ANSWER_TIMEOUT_S
         # A machine that is silent for longer counts as dead. A worker that gets no answer from its
         # holder turns to the next controller after a report's time, the timeout of 4 s and a pause
         # of 1 s, plus the network delay.
         self.silence_limit_s = max(
             *(3 * worker_settings.report_s, worker_settings.lease_s / 3),
-            1.25 * worker_settings.report_s + self.call_timeout_s + 1.5,
+            1.25 * worker_settings.report_s + WORKER_ANSWER_TIMEOUT_S + 1.5,
         )
-        self.adopting_machines: set[str] = set()
         # By machine name: when its record was deleted.
         self.deleted_at: dict[str, float] = {}
         # Direct launches without a response, which may still be executed.
@@ -66,16 +62,18 @@
             owner, self._raise_token, lambda: owner.sync.connected(), self.lease_expiry_s
         )
         self.commands = WorkerCommands(
-            owner, self.uncertain_launches, self.call_timeout_s, self._apply_direct_response
+            owner, self.uncertain_launches, WORKER_ANSWER_TIMEOUT_S, self._apply_direct_response
         )
-        self.foreign_reports = ForeignReports(owner, self.call_timeout_s, self._refuse)
+        self.task_states = TaskStates(owner, self.commands)
+        self.adoption = MachineAdoption(owner, self.handle_report, self._refuse)
+        self.foreign_reports = ForeignReports(owner, WORKER_ANSWER_TIMEOUT_S, self._refuse)
         self.reachability = Reachability(owner, self.lease_expiry_s, self.commands.stop_task)
         self.lost_machines = LostMachines(
             owner,
             self.silence_limit_s,
             self.lease_expiry_s,
             self.reachability,
-            self.forget_tasks,
+            self.task_states.forget_all,
         )
 
     # -- reports --------------------------------------------------------------------------------
@@ -98,7 +96,8 @@
             return
         now = owner.now
         if machine is None:
-            if not self._adopt(report, body, exchange):
+            # A late report of a machine that was deleted does not bring it back.
+            if report.machine in self.deleted_at or not self.adoption.adopt(report, body, exchange):
                 self._refuse(exchange, "machine is not known yet")
             return
         shard = owner.held_shards.get(machine.record.shard)
@@ -237,52 +236,6 @@
 
         self.owner.put_machine(machine.name, machine.record, machine.stamp, shard, done)
 
-    def _adopt(self, report: worker_protocol.Report, body: bytes, exchange: object) -> bool:
-        """Start to adopt a machine that reports but has no record; False if it is not adopted.
-
-        Such a machine was up before the response to its rental had arrived or was recorded, or the
-        response was lost. It joins the shard it was rented for, as far as that is known, and this
-        report is answered once its record is durable.
-        """
-        owner = self.owner
-        name = report.machine
-        node = owner.settings.node
-        shard = owner.held_shards.get(node)
-        if (
-            name in self.adopting_machines
-            or shard is None
-            or shard.yielding
-            or not owner.leadership.may_act(owner.now)
-            or name in self.deleted_at
-        ):
-            return False
-        self.adopting_machines.add(name)
-        home_shard = (
-            owner.provisioner.shard_of_rental(report.type, report.zone, report.spot) or node
-        )
-        record = MachineRecord(
-            report.type, report.zone, report.spot, home_shard, report.addr, owner.wall()
-        )
-
-        def done(result: Result) -> None:
-            self.adopting_machines.discard(name)
-            if name in owner.machines:
-                self.handle_report(body, exchange)
-            else:
-                self._refuse(exchange, "machine is not known yet")
-
-        def on_show(status: int | None, answer: bytes) -> None:
-            # A delayed copy of a report must not bring back a machine that is gone.
-            current = decode_answer(answer, worker_protocol.Report) if status == 200 else None
-            confirmed = current is not None and current.machine == name
-            if confirmed and owner.held_shards.get(node) is shard and name not in owner.machines:
-                owner.put_machine(name, record, 0, shard, done)
-            else:
-                done(Result(Outcome.REFUSED))
-
-        owner.call(report.addr, "GET", "/show", None, self.call_timeout_s / 2, on_show)
-        return True
-
     @staticmethod
     def _has_nothing_due(machine: Machine) -> bool:
         """Return whether the same report again would change nothing and needs no command."""
@@ -326,7 +279,7 @@
                 )
             self.reachability.note_new_session(now, machine)
             machine.last_hello_seq = 0
-            self.forget_tasks(machine)
+            self.task_states.forget_all(machine)
             # The session may have begun only now, and its lease counts from then on, however it
             # became known. When the lease was counted from the last answered report, a session
             # first seen in the response to a direct command was taken for expired at once, and its
@@ -365,17 +318,18 @@
         # have ended and wait until that is durable: 140 of them in test runs with injected faults,
         # where they took half of the owners' time.
         tasks = machine.tasks
+        task_states = self.task_states
         for reported in reported_tasks:
             placement = tasks.get(reported.task)
             if placement is None or placement.attempt != reported.attempt:
-                adopted = self._recognize_task(machine, reported) if placement is None else None
+                adopted = task_states.recognize(machine, reported) if placement is None else None
                 if adopted is None:
                     unknown_tasks[reported.task, reported.attempt] = reported.state
                     continue
                 placement = adopted
             seen.add(reported.task)
             if placement.state != reported.state:
-                self._apply_task_state(machine, placement, reported)
+                task_states.apply(machine, placement, reported)
         missing = [task for task in tasks if task not in seen] if len(seen) < len(tasks) else []
         for task in missing:
             placement = tasks[task]
@@ -386,11 +340,11 @@
             # The worker may have taken an answer after it sent the response to a direct command.
             overtaken = placement.state == LAUNCH_SENT and not via_hello
             if not wanted and not overtaken:
-                self.drop_task(machine, placement)
+                self.task_states.drop(machine, placement)
         if via_hello:
             self.reachability.check_answers_received(now, machine, report.seq, token)
         if machine.spot_notice:
-            self._stop_saving_tasks(machine)
+            self.commands.stop_saving_tasks(machine)
         if machine.unknown_tasks or unknown_tasks:
             self._log_unknown_tasks(machine, unknown_tasks, token)
             machine.unknown_tasks = unknown_tasks
@@ -426,102 +380,10 @@
             token = max(shard.term, machine.stamp)
             self.apply_report(machine, report, reported_tasks, token, via_hello=False)
 
-    def _stop_saving_tasks(self, machine: Machine) -> None:
-        """Stop tasks that can save before a spot machine is reclaimed; others may yet complete."""
-        for placement in list(machine.tasks.values()):
-            job = placement.job
-            if job is not None and job.spec.checkpoint_s > 0 and placement.takes_room:
-                self.commands.stop_task(placement, job.grace_s, "spot notice")
-
-    def _recognize_task(
-        self, machine: Machine, reported: worker_protocol.TaskReport
-    ) -> Placement | None:
-        """Adopt a reported task that an earlier holder placed; None if it can't be such a task."""
-        job = find_claimed_job(self.owner.jobs, machine.record.shard, reported.task)
-        if job is None:
-            return None
-        if reported.state == worker_protocol.EXITED and reported.why != worker_protocol.EXIT_DONE:
-            return None
-        _, index = parse_task_name(reported.task)
-        placement = Placement(job, index, reported.task, reported.attempt, machine)
-        placement.started_at = self.owner.now
-        self.owner.ledger.add_placement(machine, placement)
-        if (possibly_running := job.possibly_running.get(machine.record.shard)) is not None:
-            job.possibly_running[machine.record.shard] = possibly_running & ~(1 << index)
-        if job.gang and job.attempt != reported.attempt:
-            if len(job.placed) > 1:
-                job.gang_stopping = True
-            job.attempt = max(job.attempt, reported.attempt)
-        if job.cancelled_elsewhere:
-            self.commands.stop_task(placement, 0.0, "cancelled elsewhere")
-        return placement
-
-    def _apply_task_state(
-        self, machine: Machine, placement: Placement, reported: worker_protocol.TaskReport
-    ) -> None:
-        owner = self.owner
-        owner.ledger.set_task_state(placement, reported.state)
-        job = placement.job
-        assert job is not None
-        if reported.state in (worker_protocol.TASK_RUNNING, worker_protocol.WAITING):
-            images.record_image_use(machine, job.spec)
-        if reported.state == worker_protocol.TASK_RUNNING and not placement.running_at:
-            placement.running_at = owner.now
-            log.info(
-                "runs task=%s machine=%s class=%s after=%.1f image_gb=%.1f",
-                *(placement.task, machine.name, job.spec.klass),
-                *(owner.now - placement.started_at, job.spec.image_gb),
-            )
-        if reported.state != worker_protocol.EXITED:
-            return
-        placement.exit_reason = reported.why
-        owner.task_end_log.log_task_end(placement, reported.why, reported.saved)
-        if reported.why == worker_protocol.EXIT_DONE:
-            owner.estimates.note_run_time(placement)
-            owner.failures.task_completed(machine, job)
-            if job.gang:
-                # The tasks of a gang complete together.
-                job.finished_unrecorded |= job.all_tasks & ~job.finished
-            else:
-                job.finished_unrecorded |= (1 << placement.index) & ~job.finished
-        else:
-            if reported.why == worker_protocol.EXIT_ERROR:
-                owner.failures.task_failed(placement)
-            elif reported.why in (
-                worker_protocol.EXIT_FULL,
-                worker_protocol.EXIT_BUSY,
-                worker_protocol.EXIT_UNKNOWN,
-            ):
-                job.hold_until = max(job.hold_until, owner.now + self.worker_settings.report_s)
-            if job.gang:
-                job.gang_stopping = True
-        owner.ledger.update_claims(job)
-        if not machine.tasks:
-            machine.idle_since = owner.now
-
-    # -- lost tasks and machines ----------------------------------------------------------------
-
-    def drop_task(self, machine: Machine, placement: Placement, reason: str = "missing") -> None:
-        """Remove a task that is provably gone from its machine."""
-        job = placement.job
-        if placement.takes_room and job is not None and job.gang and placement.state != LAUNCH_SENT:
-            job.gang_stopping = True
-        if placement.takes_room:
-            self.owner.task_end_log.log_task_end(placement, reason)
-        self.owner.ledger.remove_placement(machine, placement)
-        if not machine.tasks:
-            machine.idle_since = self.owner.now
-        self.owner.pass_needed = True
-
-    def forget_tasks(self, machine: Machine, reason: str = "lease") -> None:
-        """Drop all tasks of a machine, as its session is over or the machine gone."""
-        for placement in list(machine.tasks.values()):
-            self.drop_task(machine, placement, reason)
-        machine.used = [0.0, 0.0, 0.0]
-        machine.quiescent = False
-        machine.unknown_tasks = {}
-        machine.launches = LaunchTracker()
-        self.owner.ledger.update_machine(machine)
+    def machine_deleted(self, machine: Machine) -> None:
+        """Drop all tasks of a machine that is gone, and ignore its late reports."""
+        self.deleted_at[machine.name] = self.owner.now
+        self.task_states.forget_all(machine, "gone")
 
     def tick(self, now: float) -> None:
         """Look for lost machines, and forget deleted ones after a while."""
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -10,7 +10,6 @@
 # needed also fails a test.
 LONG_MODULES = {
     "coordination.provisioner",
-    "coordination.workers",
     "lab.fakes",
     "sweeps.blocks",
     "sweeps.manager",
