Long answers get their lines from msgspec instead of bytes put together by hand

Cause: `answer_body` built the JSON of an answer of more than 64 KiB itself, with the names of its fields, so that no line was longer than workers read: serialization that stood twice.

Change: the encoded answer goes through `msgspec.json.format`, which puts each value on its own line.

Measured: `test_no_line_of_an_answer_is_longer_than_a_worker_reads` and `test_answer_with_many_reaps_carries_every_stop` pass, bounds unchanged.

--- a/sagecove/protocol/workers.py
+++ b/sagecove/protocol/workers.py
@@ -110,17 +110,16 @@
 
 
 def answer_body(answer: ReportAnswer) -> ReportAnswer | msgspec.Raw:
-    """Return the body to send for an answer: a long one has a line for each command."""
+    """Return the body to send for an answer: a long one has a line for each value."""
     orders = answer.orders
     if not orders:
         return answer
     if len(orders) <= FEW_COMMANDS_COUNT and all(len(o.task) <= SHORT_NAME_LENGTH for o in orders):
         return answer
-    encode = msgspec.json.encode
-    if len(encode(answer)) <= MAX_LINE_BYTES:
+    encoded = msgspec.json.encode(answer)
+    if len(encoded) <= MAX_LINE_BYTES:
         return answer
-    lines = b",\n".join(encode(order) for order in orders)
-    return msgspec.Raw(b'{"brand":%d,"orders":[\n%b]}' % (answer.token, lines))
+    return msgspec.Raw(msgspec.json.format(encoded, indent=1))
 
 
 class DirectCommands(msgspec.Struct, rename={"token": "brand", "session": "ride"}):
