Seeded search: controllers that end while single messages are held up

Cause: the histories with ending controllers delivered each message at once, so launches, answers and reports of ended holders that arrive under the next ones were played by neither search.

--- a/tests/test_ending_controllers.py
+++ b/tests/test_ending_controllers.py
@@ -22,11 +22,17 @@
 
 
 class EndingControllers(HeldMessages):
-    """One history, drawn from one seed; without `controllers_end` no controller ends."""
+    """One history, drawn from one seed.
 
-    def __init__(self, seed: int, controllers_end: bool = True) -> None:
+    Without `controllers_end` no controller ends; with `hold_messages` single messages are held up.
+    """
+
+    def __init__(
+        self, seed: int, controllers_end: bool = True, hold_messages: bool = False
+    ) -> None:
         super().__init__(seed)
         self.controllers_end = controllers_end
+        self.hold_messages = hold_messages
         self.end_share = self.random.choice(END_SHARES[1:])
         self.longest_life_s = self.random.choice(LONGEST_LIFE_S)
         self.world.message_delay_s = self._end_after_first_answer
@@ -38,7 +44,7 @@
             if token > worker.token and self.random.random() < self.end_share:
                 delay_s = self.random.uniform(0.0, self.longest_life_s)
                 self.world.call_later(delay_s, lambda: self._end(message.source))
-        return 0.0
+        return self._delay_s(message) if self.hold_messages else 0.0
 
     def _end(self, name: str) -> None:
         if self.controllers_end and name in self.world.owners:
@@ -109,3 +115,9 @@
 def test_ending_controllers_leave_no_cancelled_task_running(seed: int) -> None:
     # Guards against leases of cancelled tasks that each of many short-lived holders renews.
     EndingControllers(seed).play()
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_held_messages_and_ending_controllers_leave_no_cancelled_task_running(seed: int) -> None:
+    # Guards against launches of ended holders that arrive while the next ones come and go.
+    EndingControllers(seed, hold_messages=True).play()
