--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -47,6 +47,17 @@
     assert error.count("\n") == 1 and field in error
 
 
+def test_settings_with_six_seconds_between_worker_lease_and_cancel_s_are_accepted(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    # Guards against controllers that refuse to start for want of a few milliseconds of lease.
+    def change(raw: dict[str, Any]) -> None:
+        raw["cluster"]["workers"].update(lease_s=8.0, cancel_s=14.0)
+
+    status = main(["check-config", write_settings(tmp_path, change)])
+    assert status == 0, capsys.readouterr().err
+
+
 def test_missing_file_and_invalid_json(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     assert main(["check-config", str(tmp_path / "none.json")]) == 2
     broken = tmp_path / "broken.json"
