Lab: requests that were executed can arrive once more; a restarted machine gets no earlier answer

The lab could delay single messages, not repeat them.

- `message_copies.py`: copies of direct commands, of messages between controllers, of writes to the state service and of users' requests, each by itself; nobody waits for the answer to a copy.
- A worker that restarts takes no answer to a report of before: its connections are gone (PROTOCOL).
The stand-in took them, as session 1 begins anew.
- A task that exits while a report is in flight is reported after the answer, half a second after the last report at the earliest (PROTOCOL).
The stand-in left it to the next regular report.
- `repeated_attempts` tells starts before and after a restart apart.
What would run on two machines still breaks `ran_twice`.

--- a/sagecove/cli.py
+++ b/sagecove/cli.py
@@ -40,6 +40,13 @@
     return value
 
 
+def _parse_share(text: str) -> float:
+    value = float(text)
+    if not 0.0 <= value <= 1.0:
+        raise argparse.ArgumentTypeError("must be from 0 to 1")
+    return value
+
+
 def _controller_options() -> argparse.ArgumentParser:
     controller_options = argparse.ArgumentParser(add_help=False)
     controller_options.add_argument(
@@ -85,6 +92,14 @@
         metavar="X",
         help="factor by which boots and tasks are sped up (default: 1)",
     )
+    dev.add_argument(
+        "--copy-commands",
+        type=_parse_share,
+        default=0.0,
+        metavar="SHARE",
+        help="share of direct commands that reach their worker once more, up to 8 s later"
+        " (default: 0)",
+    )
     dev.add_argument(
         "--port", type=int, default=8080, help="port for users; 0: any free port (default: 8080)"
     )
@@ -243,7 +258,8 @@
         from sagecove.lab.dev import run
 
         return run(
-            args.controllers, args.machines, args.time_scale, args.port, args.features, args.demo
+            *(args.controllers, args.machines, args.time_scale, args.port, args.features),
+            *(args.demo, args.copy_commands),
         )
     if args.command not in ("serve", "check-config"):
         return _run_reporting_errors(lambda: _run_request(args))
--- a/sagecove/lab/dev.py
+++ b/sagecove/lab/dev.py
@@ -145,15 +145,25 @@
 
 
 def run(
-    controllers: int, machines: int, time_scale: float, port: int, features: str, demo: bool
+    controllers: int,
+    machines: int,
+    time_scale: float,
+    port: int,
+    features: str,
+    demo: bool,
+    copy_share: float = 0.0,
 ) -> int:
-    """Run the cluster until Ctrl-C or the end of the demonstration; return the exit status."""
+    """Run the cluster until Ctrl-C or the end of the demonstration; return the exit status.
+
+    Of the direct commands to workers, `copy_share` arrive once more (see `Loopback`).
+    """
     from twisted.internet import reactor
     from twisted.internet.defer import inlineCallbacks
     from twisted.internet.error import CannotListenError
 
     report_progress = ProgressPrinter()
     lab = Loopback(reactor, controllers, time_scale, 1, features, report_progress)
+    lab.copy_commands(copy_share)
     try:
         lab.start(machines, port)
     except CannotListenError:
--- a/sagecove/lab/fakes.py
+++ b/sagecove/lab/fakes.py
@@ -14,6 +14,9 @@
 
 from sagecove.lab.deployment import GANG_WAIT_S, LEASE_S, MACHINE_TYPES, REPORT_S
 
+# Shortest time between two reports of a worker, in seconds.
+MIN_REPORT_GAP_S = 0.5
+
 AnswerCallback = Callable[[int | None, bytes], None]
 
 
@@ -348,6 +351,9 @@
         self.fails_tasks = False
         self.changed_at = 0.0
         self.report_in_flight = False
+        # A task has exited while a report was in flight.
+        self.change_unreported = False
+        self.restart_count = 0
         environment.call_later(0.01, self.report_periodically)
 
     def report_body(self) -> dict[str, Any]:
@@ -396,11 +402,11 @@
             return
         self.report_in_flight = True
         sent_at = self.environment.now
-        session = self.session
+        session, restart_count = self.session, self.restart_count
         reported_attempts = {task: self.tasks[task]["try"] for task in self.live_tasks()}
 
         def answer(status: int | None, body: bytes) -> None:
-            if self.dead or session != self.session:
+            if self.dead or (session, restart_count) != (self.session, self.restart_count):
                 return
             if status == 200:
                 message = json.loads(body)
@@ -425,15 +431,27 @@
                 answered[0] = True
                 self.report_in_flight = False
                 answer(status, body)
+                if self.change_unreported:
+                    pause_s = max(0.0, sent_at + MIN_REPORT_GAP_S - self.environment.now)
+                    self.environment.call_later(pause_s, self.report_change)
 
         self.environment.request_controller(
             self.node, "POST", "/hello", self.report_body(), answer_once
         )
         self.environment.call_later(4.0, lambda: answer_once(None, b""))
 
+    def report_change(self) -> None:
+        """Report a change now, or after the answer to the report that is in flight."""
+        self.change_unreported = self.report_in_flight
+        self.send_report()
+
     def restart(self) -> None:
-        """Restart the machine without delay and without its tasks, token and session number."""
+        """Restart the machine without delay and without its tasks, token and session number.
+
+        Answers to reports of before are lost with its connections.
+        """
         self.tasks = {}
+        self.restart_count += 1
         self.session, self.report_number, self.token = 1, 0, 0
         self.lease_started_at = self.environment.now
 
@@ -575,4 +593,4 @@
             entry["standing"], entry["cause"] = "exited", cause
             if cause == "done":
                 self.environment.completed_tasks.add(task)
-            self.environment.call_later(0.3, self.send_report)
+            self.environment.call_later(0.3, self.report_change)
--- a/sagecove/lab/loopback.py
+++ b/sagecove/lab/loopback.py
@@ -20,6 +20,7 @@
 
 from sagecove.lab import deployment
 from sagecove.lab.fakes import AnswerCallback, FakeCloud, FakeStateService, FakeWorker
+from sagecove.lab.message_copies import CopiedRequest, MessageCopies, RequestKind
 from sagecove.lab.rule_checker import RuleChecker, RuleViolation
 from sagecove.transport.client import Client
 from sagecove.transport.server import Exchange, Server
@@ -29,6 +30,8 @@
 HOST = "127.0.0.1"
 # The platform restarts an ended controller after about this time.
 CONTROLLER_RESTART_S = 3.0
+# Shortest and longest time after which a copy of a direct command arrives.
+COMMAND_COPY_DELAY_S = (0.2, 8.0)
 
 
 def free_port() -> int:
@@ -128,6 +131,17 @@
         self.cloud.address_of = self._machine_address
         self.processes = [ControllerProcess(self, n) for n in range(controllers)]
         self.user_address = ""
+        self.message_copies = MessageCopies(self.call_later)
+
+    def copy_commands(self, share: float) -> None:
+        """From now on let this share of the executed direct commands arrive once more."""
+
+        def delays_s(request: CopiedRequest) -> tuple[float, ...]:
+            if self.random.random() >= share:
+                return ()
+            return (self.random.uniform(*COMMAND_COPY_DELAY_S),)
+
+        self.message_copies.delays_s = delays_s
 
     # -- environment of the fakes ---------------------------------------------------------------
 
@@ -257,13 +271,24 @@
             if worker is None or worker.isolated or worker.direct_commands_blocked:
                 return
             if path == "/commands":
-                answer(*worker.handle_commands(body))
+                status, report = worker.handle_commands(body)
+                answer(status, report)
+                if status == 200:
+                    self.message_copies.schedule(
+                        CopiedRequest(RequestKind.COMMAND, "", name, body),
+                        lambda: self._deliver_command_copy(worker, body),
+                    )
             else:
                 answer(200, json.dumps(worker.report_body()).encode())
 
         port = self.listeners[name] = self.listen(self._http_handler(handle))
         return f"{HOST}:{port.getHost().port}"
 
+    def _deliver_command_copy(self, worker: FakeWorker, body: Any) -> None:
+        if not worker.dead:
+            status, _ = worker.handle_commands(body)
+            self.message_copies.command_copy_statuses[status] += 1
+
     # -- users ----------------------------------------------------------------------------------
 
     def _forward_user_request(self, method: str, path: str, raw: bytes, exchange: Exchange) -> None:
--- a/sagecove/lab/network.py
+++ b/sagecove/lab/network.py
@@ -1,7 +1,8 @@
 """The simulated network between controllers, workers, users and the services they call.
 
 Links can be cut, machines can be unable to send or to receive, reports can arrive a second time,
-and any single message between a controller and a worker or a peer can be delayed by itself.
+any single message between a controller and a worker or a peer can be delayed by itself, and
+requests that were delivered can arrive again (`message_copies`).
 """
 
 import dataclasses
@@ -16,6 +17,7 @@
 from sagecove.coordination.effects import CallResult, IncomingRequest, OutgoingCall
 from sagecove.coordination.owner import Owner
 from sagecove.lab.fakes import AnswerCallback, FakeCloud, FakeStateService, FakeWorker
+from sagecove.lab.message_copies import CopiedRequest, MessageCopies, RequestKind
 
 # Time a message takes to a worker or a peer without further delay.
 LINK_S = 0.002
@@ -47,6 +49,10 @@
         return any(order["verb"] == "launch" and order["hand"] == task for order in orders)
 
 
+def _ignore_answer(status: int | None, raw: bytes) -> None:
+    """Take the answer to a copy, for which nobody waits."""
+
+
 class Network:
     """Delivers messages subject to faults. Mixed into `World`, which has the endpoints."""
 
@@ -78,6 +84,7 @@
         self.report_copy_delays_s: dict[str, list[float]] = {}
         # Ended controllers refuse connections; otherwise they do not answer, as without power.
         self.dead_nodes_refuse = False
+        self.message_copies = MessageCopies(self.call_later)
 
     def call_later(self, delay_s: float, action: Callable[[], None]) -> None:
         """Run an action after a delay on the simulated clock."""
@@ -148,9 +155,7 @@
         if (name, call.target) in self.cut_links:
             return
         if call.target == "state":
-            self.call_later(
-                0.005, lambda: self.state.handle_request(name, call.method, call.path, raw, answer)
-            )
+            self.call_later(0.005, lambda: self._call_state_service(name, call, raw, answer))
         elif call.target == "cloud":
             self.call_later(
                 0.05, lambda: self.cloud.handle_request(call.method, call.path, raw, answer)
@@ -162,6 +167,18 @@
                 LINK_S + self.link_delay_s, lambda: self._deliver_to(name, call, raw, answer)
             )
 
+    def _call_state_service(
+        self, source: str, call: OutgoingCall, raw: Any, answer: AnswerCallback
+    ) -> None:
+        self.state.handle_request(source, call.method, call.path, raw, answer)
+        if call.method == "POST":
+            self.message_copies.schedule(
+                CopiedRequest(RequestKind.STATE_WRITE, source, call.target, raw),
+                lambda: self.state.handle_request(
+                    source, call.method, call.path, raw, _ignore_answer
+                ),
+            )
+
     def _deliver_to(
         self, source: str, call: OutgoingCall, raw: Any, answer: AnswerCallback
     ) -> None:
@@ -190,22 +207,46 @@
             elif worker.isolated or worker.direct_commands_blocked:
                 worker.delayed_commands.append(raw)
             else:
-                answer(*worker.handle_commands(raw))
+                status, body = worker.handle_commands(raw)
+                answer(status, body)
+                if status == 200:
+                    self.message_copies.schedule(
+                        CopiedRequest(RequestKind.COMMAND, source, worker.name, raw),
+                        lambda: self._deliver_command_copy(worker.name, raw),
+                    )
 
         self._after_own_delay(MessageKind.COMMAND, source, worker.name, raw, deliver)
 
+    def _deliver_command_copy(self, machine: str, raw: Any) -> None:
+        """Deliver a copy of direct commands that were executed; nobody waits for the answer."""
+        worker = self.workers.get(machine)
+        if worker is None or worker.dead:
+            return
+        if worker.isolated or worker.direct_commands_blocked:
+            worker.delayed_commands.append(raw)
+            return
+        status, _ = worker.handle_commands(raw)
+        self.message_copies.command_copy_statuses[status] += 1
+
     def _call_peer(
         self, source: str, target: str, call: OutgoingCall, raw: Any, answer: AnswerCallback
     ) -> None:
         body = msgspec.json.encode(call.body)
         answer = self._with_delayed_answer(MessageKind.PEER_ANSWER, target, source, answer)
 
-        def deliver() -> None:
+        def deliver_to_peer(answer: AnswerCallback) -> None:
             if target in self.owners:
                 self.inboxes[target].append(
                     IncomingRequest(call.method, call.path, body, answer, True)
                 )
 
+        def deliver() -> None:
+            deliver_to_peer(answer)
+            self.message_copies.schedule(
+                CopiedRequest(RequestKind.PEER_REQUEST, source, target, raw),
+                lambda: deliver_to_peer(_ignore_answer),
+            )
+
         self._after_own_delay(MessageKind.PEER_REQUEST, source, target, raw, deliver)
 
     # -- requests of users and workers ----------------------------------------------------------
@@ -218,6 +259,10 @@
             self._send_report(node, body, answer)
         else:
             self.deliver_to_controller(node, method, path, body, answer)
+            self.message_copies.schedule(
+                CopiedRequest(RequestKind.USER_REQUEST, "user", node, body),
+                lambda: self.deliver_to_controller(node, method, path, body, _ignore_answer),
+            )
 
     def _send_report(self, node: str, body: dict[str, Any], answer: AnswerCallback) -> None:
         name = body["mount"]
--- a/sagecove/lab/rule_checker.py
+++ b/sagecove/lab/rule_checker.py
@@ -58,10 +58,11 @@
         self.teams = TEAMS
         # All task starts, as (time, task, machine).
         self.task_starts: list[tuple[float, str, str]] = []
-        # Started attempts, as (machine, session, task, attempt), and those that a worker started
-        # again in the same session: it was told to forget them while a launch was under way.
-        self.started_attempts: set[tuple[str, int, str, int]] = set()
-        self.repeated_attempts: list[tuple[str, int, str, int]] = []
+        # Started attempts, as (machine, restarts, session, task, attempt), and those that a worker
+        # started again in the same session: it was told to forget them while a launch was under
+        # way. A worker that has restarted does not know what it started before.
+        self.started_attempts: set[tuple[str, int, int, str, int]] = set()
+        self.repeated_attempts: list[tuple[str, int, int, str, int]] = []
         # When jobs were first submitted; since when no request about an accepted job has been
         # answered; and when all faults were over (None: they are not yet).
         self.submitted_at: dict[str, float] = {}
@@ -80,7 +81,10 @@
     def task_started(self, worker: FakeWorker, task: str) -> None:
         """Record a task start and check that it is allowed there and then."""
         self.task_starts.append((self.now, task, worker.name))
-        attempt = (worker.name, worker.session, task, worker.tasks[task]["try"])
+        attempt = (
+            *(worker.name, worker.restart_count, worker.session),
+            *(task, int(worker.tasks[task]["try"])),
+        )
         if attempt in self.started_attempts:
             self.repeated_attempts.append(attempt)
         self.started_attempts.add(attempt)
