A machine that does not receive answers is not returned as idle

Nothing is placed on such a machine until it receives answers again or is returned as "does not hear" after four leases. Its list of tasks is empty meanwhile, and 15 s later it was returned as idle, while the tasks that had been meant for it waited, also where no other machine could be rented. So far that was seldom seen: a direct launch without response raised the machine's token, and its list did not count.

--- a/sagecove/coordination/maintenance.py
+++ b/sagecove/coordination/maintenance.py
@@ -68,6 +68,9 @@
             for machine in machines:
                 if not machine.empty or machine.record.leaving or machine.machine_type is None:
                     continue
+                if machine.unreachable_since is not None:
+                    # Nothing was placed on it; it is returned unless it hears again in time.
+                    continue
                 if machine.spot_notice:
                     self.workers.mark_for_return(machine, "spot notice")
                     continue
