Launches travel in answers to reports only; a copy of a direct command starts nothing

`LaunchTracker` took a direct launch for over with its response. The class: the answer to a message is taken for the end of the message's life. No wait before the reap is long enough, as copies come "from seconds to well over a lease"; and no token helps where the machine is back at once, as a restarted worker obeys any.

Change: direct commands carry stops and reaps, which do no harm late or twice, as attempts never repeat. Launches travel in answers to reports only: a worker drops an answer 4 s after it sent the report, has one report in flight, and loses answers with its connections when it restarts. The token of a message is made in one place (`tokens.py`). `UncertainLaunches` goes: no launch can be in doubt.

--- a/sagecove/coordination/foreign_reports.py
+++ b/sagecove/coordination/foreign_reports.py
@@ -4,13 +4,14 @@
 
 from collections.abc import Callable
 from random import Random
-from typing import Any, Protocol
+from typing import Protocol
 
 import msgspec
 
 from sagecove.coordination.effects import Effect, Reply
-from sagecove.coordination.interfaces import BaseContext, ResponseCallback
+from sagecove.coordination.interfaces import BaseContext, RequestSender
 from sagecove.coordination.model import Machine
+from sagecove.coordination.tokens import holder_token
 from sagecove.protocol import workers as worker_protocol
 from sagecove.protocol.peers import Hint
 from sagecove.storage.mirror import Mirror
@@ -42,7 +43,7 @@
     synced_at: float
 
 
-class ForeignReportContext(BaseContext, Protocol):
+class ForeignReportContext(BaseContext, RequestSender, Protocol):
     """Interface that the handling of foreign reports requires of the owner."""
 
     random: Random
@@ -61,11 +62,6 @@
     def sync(self) -> ReadTimes:
         """The reads of the state service."""
 
-    def call(
-        self, target: str, method: str, path: str, body: Any, timeout: float, done: ResponseCallback
-    ) -> None:
-        """Send a request; `done` is called with its response."""
-
 
 class ForeignReports:
     """Redirects or relays reports to the controllers that hold the machines.
@@ -107,7 +103,7 @@
         # could not reach each other, such workers were redirected back and waited another 4 s for
         # an answer; then their leases had expired, and their holders had returned them as silent.
         holder_term = context.mirror.revision_of(HOLDER_PREFIX + machine.record.shard)
-        holder_tried = holder_tried or report.token >= max(holder_term, machine.stamp)
+        holder_tried = holder_tried or report.token >= holder_token(holder_term, machine)
         # A holder whose lease outlives its silence is alive and only cut off from its peers.
         holder_silent = (
             hint is not None and HINT_FRESH_S <= now - hint[0] < context.leadership.lease_s + 1.0
--- a/sagecove/coordination/interfaces.py
+++ b/sagecove/coordination/interfaces.py
@@ -16,6 +16,7 @@
 from sagecove.protocol import state as wire
 from sagecove.protocol.cloud import MachineType
 from sagecove.storage.mirror import Event
+from sagecove.storage.records import MachineRecord
 from sagecove.storage.store import Result
 
 # Receives the outcome of a call: status (None: no response, 0: never sent) and body.
@@ -37,6 +38,36 @@
         """Return the wall clock time in seconds."""
 
 
+class Authority(Protocol):
+    """Tells whether this controller may act."""
+
+    def may_act(self, now: float) -> bool:
+        """Return whether this controller may act for its shards."""
+
+
+class MachineRecordWriter(Protocol):
+    """Writes the records of machines."""
+
+    def put_machine(
+        self,
+        name: str,
+        record: MachineRecord,
+        stamp: int,
+        shard: Shard,
+        done: Callable[[Result], None],
+    ) -> None:
+        """Write a machine's record, on condition that this controller still holds the shard."""
+
+
+class RequestSender(Protocol):
+    """Sends requests to workers and other controllers."""
+
+    def call(
+        self, target: str, method: str, path: str, body: Any, timeout: float, done: ResponseCallback
+    ) -> None:
+        """Send a request; `done` is called with its response."""
+
+
 class FailureJudge(Protocol):
     """Decides whether jobs or machines cause task failures."""
 
--- a/sagecove/coordination/launch_tracker.py
+++ b/sagecove/coordination/launch_tracker.py
@@ -2,13 +2,13 @@
 
 A worker that was told to reap an attempt no longer knows it: one more launch of the same attempt
 would start the task again. So an attempt is reaped, and a task that no report shows is taken for
-gone, only when no launch of it is under way. PROTOCOL says for how long a launch is:
+gone, only when no launch of it is under way.
 
-- Sent directly: until the response arrives. Without a response it may be executed minutes later,
-  until the worker has shown a higher token or a later session.
-- In the answer to a report: the worker drops answers some time after it sent the report, and has
-  one report in flight at a time. So until it has sent a later report, until that time is over, or
-  until it has shown a later session. The same holds for reports that another controller relays.
+Launches travel in answers to reports only. A worker drops an answer some time after it sent the
+report, and it has one report in flight at a time. So a launch is under way until the worker has
+sent a later report, until that time is over, or until it has shown a later session. The same holds
+for reports that another controller relays. A direct command carries no launch: the network may
+deliver it minutes later, or once more after it was executed, and a restarted worker obeys any.
 """
 
 from __future__ import annotations
@@ -24,14 +24,6 @@
 ANSWER_EXPIRY_MARGIN_S = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UnconfirmedLaunch:
-    """A direct launch without a response: the token it was sent under, and when that was known."""
-
-    token: int
-    since: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnsweredLaunch:
     """A launch in the answer to report `seq`, which the worker drops after `expires_at`."""
@@ -43,49 +35,16 @@
 class LaunchTracker:
     """The launches under way to one worker in its present session, under the present holder."""
 
-    __slots__ = ("_answered", "_open_calls", "unconfirmed")
+    __slots__ = ("_answered",)
 
     def __init__(self) -> None:
-        self._open_calls: dict[Launch, int] = {}
         self._answered: dict[Launch, AnsweredLaunch] = {}
-        self.unconfirmed: dict[Launch, UnconfirmedLaunch] = {}
 
     def may_arrive(self, launch: Launch, now: float) -> bool:
         """Return whether the worker may yet receive and execute a launch of this attempt."""
-        if launch in self._open_calls or launch in self.unconfirmed:
-            return True
         answered = self._answered.get(launch)
         return answered is not None and now < answered.expires_at
 
-    # -- sent directly --------------------------------------------------------------------------
-
-    def note_call(self, launch: Launch) -> None:
-        """Record that a direct command with a launch is being sent."""
-        self._open_calls[launch] = self._open_calls.get(launch, 0) + 1
-
-    def note_response(self, launch: Launch) -> None:
-        """Record that the command was executed or refused, or never left."""
-        open_calls = self._open_calls.pop(launch) - 1
-        if open_calls:
-            self._open_calls[launch] = open_calls
-
-    def note_no_response(self, launch: Launch, token: int, now: float) -> None:
-        """Record that the command, sent under `token`, has got no response."""
-        self.note_response(launch)
-        earlier = self.unconfirmed.get(launch)
-        if earlier is not None:
-            token = max(token, earlier.token)
-        self.unconfirmed[launch] = UnconfirmedLaunch(token, now)
-
-    def note_token(self, token: int) -> None:
-        """Record a token that the worker has shown: it refuses commands under lower ones."""
-        if self.unconfirmed:
-            self.unconfirmed = {
-                launch: sent for launch, sent in self.unconfirmed.items() if sent.token >= token
-            }
-
-    # -- sent in answers to reports -------------------------------------------------------------
-
     def note_answer(self, launch: Launch, seq: int, now: float) -> None:
         """Record that a launch is being sent in the answer to report `seq`, received by `now`."""
         earlier = self._answered.get(launch)
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -190,6 +190,7 @@
             self.last_pass_at = now
             self._pass(now)
         self.workers.commands.send_urgent_commands(now)
+        self.workers.held_reports.answer_due(now)
         self.sync.sync_if_due(now)
         self.store.flush(now)
         effects, self.effects = self.effects, []
@@ -228,7 +229,6 @@
             self.sync.watch(now)
         self.leadership.tick(now)
         self.workers.tick(now)
-        self.workers.uncertain_launches.tick(now)
         self.provisioner.tick(now)
         self.maintenance.return_idle(now)
         self.room_requests.tick(now)
--- a/sagecove/coordination/worker_commands.py
+++ b/sagecove/coordination/worker_commands.py
@@ -1,18 +1,24 @@
 """Composes the commands for workers, and sends them directly where they should not wait.
 
-Every command is repeated, in the answers to reports or directly, until a report shows its effect.
+Every command is repeated until a report shows its effect: launches in the answers to reports,
+stops and reaps in these or directly. A direct command never carries a launch (`launch_tracker`).
 """
 
 from __future__ import annotations
 
 import logging
 from collections.abc import Callable, Sequence
-from typing import Any, Protocol
-
-from sagecove.coordination.interfaces import BaseContext, ResponseCallback
+from typing import Protocol
+
+from sagecove.coordination.interfaces import (
+    Authority,
+    BaseContext,
+    RequestSender,
+    ResponseCallback,
+)
 from sagecove.coordination.ledger import Ledger
 from sagecove.coordination.model import LAUNCH_SENT, Machine, Placement, Shard
-from sagecove.coordination.uncertain_launches import UncertainLaunches
+from sagecove.coordination.tokens import holder_token
 from sagecove.protocol import workers as worker_protocol
 
 log = logging.getLogger("sagecove.workers")
@@ -23,14 +29,7 @@
 MAX_STOPS_AND_REAPS_COUNT = 200
 
 
-class Authority(Protocol):
-    """Tells whether this controller may act."""
-
-    def may_act(self, now: float) -> bool:
-        """Return whether this controller may act for its shards."""
-
-
-class CommandContext(BaseContext, Protocol):
+class CommandContext(BaseContext, RequestSender, Protocol):
     """Interface that the commands require of the owner."""
 
     held_shards: dict[str, Shard]
@@ -42,27 +41,26 @@
     def leadership(self) -> Authority:
         """This controller's authority."""
 
-    def call(
-        self, target: str, method: str, path: str, body: Any, timeout: float, done: ResponseCallback
-    ) -> None:
-        """Send a request; `done` is called with its response."""
+    def count(self, event: str) -> None:
+        """Increment the metric of an event."""
 
 
 class WorkerCommands:
     """Decides which commands workers get.
 
-    `on_response(machine, body)` is called with each worker's response to direct commands.
+    `on_response(machine, body)` is called with each worker's response to direct commands;
+    `answer_held_report(machine)` answers the machine's report if one is held.
     """
 
     def __init__(
         self,
         context: CommandContext,
-        uncertain_launches: UncertainLaunches,
         call_timeout_s: float,
         on_response: Callable[[Machine, bytes], None],
+        answer_held_report: Callable[[Machine], bool],
     ) -> None:
         self.context = context
-        self.uncertain_launches = uncertain_launches
+        self.answer_held_report = answer_held_report
         self.call_timeout_s = call_timeout_s
         self.on_response = on_response
         # Machines with commands that should not wait for the next report.
@@ -94,8 +92,8 @@
     ) -> list[worker_protocol.WorkerCommand]:
         """Commands for a worker, to answer report number `seq` or, if None, to be sent directly.
 
-        `due_stops` are stops that are due beside those of the known tasks. The launches among the
-        commands count as under way from now on.
+        `due_stops` are stops that are due beside those of the known tasks. Launches are sent in
+        answers only, and count as under way from now on.
         """
         stops, reaps = self._stops_and_reaps(machine)
         if due_stops:
@@ -104,7 +102,15 @@
             # A request may have 64 KiB; unlike an answer, it renews no lease.
             del stops[MAX_STOPS_AND_REAPS_COUNT:]
         orders = stops + reaps[: max(0, MAX_STOPS_AND_REAPS_COUNT - len(stops))]
-        for placement in list(machine.tasks.values()):
+        if seq is not None:
+            self._add_launches(machine, seq, orders)
+        return orders
+
+    def _add_launches(
+        self, machine: Machine, seq: int, orders: list[worker_protocol.WorkerCommand]
+    ) -> None:
+        """Add the launches that are due to the commands in the answer to report number `seq`."""
+        for placement in machine.tasks.values():
             if len(orders) >= MAX_COMMANDS_COUNT:
                 break
             if (
@@ -119,12 +125,8 @@
                     worker_protocol.LAUNCH, placement.task, placement.attempt
                 )
             )
-            if seq is not None:
-                placement.answered_seq = seq
-                machine.launches.note_answer(placement.launch, seq, self.context.now)
-            else:
-                machine.launches.note_call(placement.launch)
-        return orders
+            placement.answered_seq = seq
+            machine.launches.note_answer(placement.launch, seq, self.context.now)
 
     def _stops_and_reaps(
         self, machine: Machine
@@ -163,13 +165,20 @@
             if shard is None or shard.yielding or not machine.tasks_known or not machine.addr:
                 del self.urgent_machines[machine.name]
                 continue
+            if self.answer_held_report(machine):
+                self.urgent_machines.pop(machine.name, None)
+                continue
             if machine.open_call_count:
                 continue
             del self.urgent_machines[machine.name]
             orders = self.commands_for(machine, None)
             if not orders:
                 continue
-            token = max(shard.term, machine.stamp)
+            token = holder_token(shard.term, machine)
+            log.debug(
+                "direct commands machine=%s token=%d session=%d count=%d",
+                *(machine.name, token, machine.session, len(orders)),
+            )
             machine.open_call_count += 1
             context.call(
                 machine.addr,
@@ -177,30 +186,16 @@
                 "/commands",
                 worker_protocol.DirectCommands(token, machine.session, orders),
                 self.call_timeout_s,
-                self._direct_command_callback(machine, orders, token),
+                self._direct_command_callback(machine),
             )
 
-    def _direct_command_callback(
-        self, machine: Machine, orders: list[worker_protocol.WorkerCommand], token: int
-    ) -> ResponseCallback:
-        # A later session or holder has a tracker of its own.
-        launches = machine.launches
-        sent_launches = [
-            (order.task, order.attempt) for order in orders if order.op == worker_protocol.LAUNCH
-        ]
-
+    def _direct_command_callback(self, machine: Machine) -> ResponseCallback:
         def done(status: int | None, body: bytes) -> None:
             context = self.context
             machine.open_call_count -= 1
             machine.quiescent = False
-            outcome_known = status in (200, 409, 400, 0)
-            for launch in sent_launches:
-                if outcome_known:
-                    launches.note_response(launch)
-                else:
-                    # It may still be executed until the worker has seen a higher token.
-                    launches.note_no_response(launch, token, context.now)
-                    self.uncertain_launches.add(machine)
+            if status == 409:
+                context.count("direct commands refused")
             if status in (200, 409) and context.machines.get(machine.name) is machine:
                 self.on_response(machine, body)
 
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -17,13 +17,14 @@
 from sagecove.config import WORKER_ANSWER_TIMEOUT_S
 from sagecove.coordination.effects import Reply
 from sagecove.coordination.foreign_reports import ForeignReports
+from sagecove.coordination.held_reports import HeldReport, HeldReports
 from sagecove.coordination.lost_machines import LostMachines
 from sagecove.coordination.machine_adoption import MachineAdoption
-from sagecove.coordination.model import LAUNCH_SENT, Machine
+from sagecove.coordination.model import LAUNCH_SENT, Machine, Shard
 from sagecove.coordination.reachability import Reachability
 from sagecove.coordination.stops_due import find_due_stops
 from sagecove.coordination.task_states import TaskStates
-from sagecove.coordination.uncertain_launches import UncertainLaunches
+from sagecove.coordination.tokens import holder_token
 from sagecove.coordination.worker_commands import WorkerCommands
 from sagecove.protocol import workers as worker_protocol
 from sagecove.protocol.users import Refusal
@@ -57,12 +58,12 @@
         )
         # By machine name: when its record was deleted.
         self.deleted_at: dict[str, float] = {}
-        # Direct launches without a response, which may still be executed.
-        self.uncertain_launches = UncertainLaunches(
-            owner, self._raise_token, lambda: owner.sync.connected(), self.lease_expiry_s
-        )
+        self.held_reports = HeldReports(owner, self._answer_held_report, self._refuse)
         self.commands = WorkerCommands(
-            owner, self.uncertain_launches, WORKER_ANSWER_TIMEOUT_S, self._apply_direct_response
+            owner,
+            WORKER_ANSWER_TIMEOUT_S,
+            self._apply_direct_response,
+            self.held_reports.answer_now,
         )
         self.task_states = TaskStates(owner, self.commands)
         self.adoption = MachineAdoption(owner, self.handle_report, self._refuse)
@@ -111,7 +112,7 @@
             else:
                 self._refuse(exchange, "this controller may not act for the shard now")
             return
-        token = max(shard.term, machine.stamp)
+        token = holder_token(shard.term, machine)
         if now < machine.unanswered_until:
             machine.last_report_at = now
             self._refuse(exchange, "the worker does not receive answers")
@@ -141,10 +142,16 @@
             return
         # A report that is neither newest nor out of date was overtaken by the response to a direct
         # command: its task list is old, but the worker still waits for this answer.
+        self.held_reports.discard(machine)
         due_stops: list[worker_protocol.WorkerCommand] = []
         if not list_applied:
             due_stops = self._find_stops_in_unapplied_list(machine, report, reported_tasks, token)
-        self._renew_lease(machine, report, exchange, token, due_stops)
+        elif not relayed and self.held_reports.hold(machine, shard, report, exchange):
+            return
+        self._renew_lease(machine, shard, report, exchange, due_stops)
+
+    def _answer_held_report(self, held: HeldReport) -> None:
+        self._renew_lease(held.machine, held.shard, held.report, held.exchange, [])
 
     def _find_stops_in_unapplied_list(
         self,
@@ -175,9 +182,9 @@
     def _renew_lease(
         self,
         machine: Machine,
+        shard: Shard,
         report: worker_protocol.Report,
         exchange: object,
-        token: int,
         due_stops: list[worker_protocol.WorkerCommand],
     ) -> None:
         """Answer a report, which renews the worker's lease; nothing else does.
@@ -185,6 +192,7 @@
         `due_stops` are the stops for tasks of the report that are not among the known ones.
         """
         owner = self.owner
+        token = holder_token(shard.term, machine)
         machine.launches.note_report(report.seq)
         machine.last_answer_at = owner.now
         machine.answered_seq, machine.answered_token = report.seq, token
@@ -219,7 +227,7 @@
         is still under way."""
         shard = self.owner.held_shards.get(machine.record.shard)
         if shard is not None:
-            machine.fence_token = max(shard.term, machine.stamp)
+            machine.fence_token = holder_token(shard.term, machine)
             self._raise_token(machine)
 
     def _raise_token(self, machine: Machine) -> None:
@@ -248,7 +256,6 @@
                 and p.stop_grace_s is None
                 for p in machine.tasks.values()
             )
-            and not machine.launches.unconfirmed
         )
 
     def apply_report(
@@ -287,7 +294,6 @@
             machine.last_answer_at = max(machine.last_answer_at, now)
         machine.session, machine.seq = report.session, report.seq
         machine.worker_token = report.token
-        machine.launches.note_token(report.token)
         if via_hello:
             machine.launches.note_report(report.seq)
         machine.addr = report.addr
@@ -377,7 +383,7 @@
         except (msgspec.MsgspecError, UnicodeDecodeError):
             return
         if self._is_newest(machine, report):
-            token = max(shard.term, machine.stamp)
+            token = holder_token(shard.term, machine)
             self.apply_report(machine, report, reported_tasks, token, via_hello=False)
 
     def machine_deleted(self, machine: Machine) -> None:
