One protocol each for authority, requests and machine records

A machine that receives answers again begins to be idle then, so that it is not returned before the next pass.

--- a/sagecove/coordination/lost_machines.py
+++ b/sagecove/coordination/lost_machines.py
@@ -8,10 +8,9 @@
 
 import msgspec
 
-from sagecove.coordination.interfaces import BaseContext
+from sagecove.coordination.interfaces import Authority, BaseContext, MachineRecordWriter
 from sagecove.coordination.model import Machine, Shard
 from sagecove.coordination.reachability import Reachability
-from sagecove.storage.records import MachineRecord
 from sagecove.storage.store import Result
 
 log = logging.getLogger("sagecove.workers")
@@ -20,13 +19,6 @@
 MANY_SILENT_LEASES_COUNT = 6
 
 
-class Authority(Protocol):
-    """Tells whether this controller may act."""
-
-    def may_act(self, now: float) -> bool:
-        """Return whether this controller may act for its shards."""
-
-
 class FaultyMachines(Protocol):
     """Machines that fail their tasks."""
 
@@ -43,7 +35,7 @@
         """Note that the tasks an earlier holder may have left on a machine are known."""
 
 
-class LostMachineContext(BaseContext, Protocol):
+class LostMachineContext(BaseContext, MachineRecordWriter, Protocol):
     """Interface that the search for lost machines requires of the owner."""
 
     held_shards: dict[str, Shard]
@@ -62,16 +54,6 @@
     def shards(self) -> ShardMachines:
         """The shards and their machines."""
 
-    def put_machine(
-        self,
-        name: str,
-        record: MachineRecord,
-        stamp: int,
-        shard: Shard,
-        done: Callable[[Result], None],
-    ) -> None:
-        """Write a machine's record."""
-
 
 class LostMachines:
     """Watches the machines of the shards held by this controller.
--- a/sagecove/coordination/machine_adoption.py
+++ b/sagecove/coordination/machine_adoption.py
@@ -7,10 +7,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 from sagecove.config import WORKER_ANSWER_TIMEOUT_S
-from sagecove.coordination.interfaces import BaseContext, ResponseCallback
+from sagecove.coordination.interfaces import (
+    Authority,
+    BaseContext,
+    MachineRecordWriter,
+    RequestSender,
+)
 from sagecove.coordination.model import Shard
 from sagecove.protocol import workers as worker_protocol
 from sagecove.storage.records import MachineRecord
@@ -20,13 +25,6 @@
 SHOW_TIMEOUT_S = WORKER_ANSWER_TIMEOUT_S / 2
 
 
-class Authority(Protocol):
-    """Tells whether this controller may act."""
-
-    def may_act(self, now: float) -> bool:
-        """Return whether this controller may act for its shards."""
-
-
 class Rentals(Protocol):
     """The machines that were rented and have not reported yet."""
 
@@ -34,7 +32,7 @@
         """Return the shard for which a machine of this kind was rented, if known."""
 
 
-class AdoptionContext(BaseContext, Protocol):
+class AdoptionContext(BaseContext, RequestSender, MachineRecordWriter, Protocol):
     """Interface that the adoption of machines requires of the owner."""
 
     held_shards: dict[str, Shard]
@@ -47,21 +45,6 @@
     def provisioner(self) -> Rentals:
         """The rentals."""
 
-    def call(
-        self, target: str, method: str, path: str, body: Any, timeout: float, done: ResponseCallback
-    ) -> None:
-        """Send a request; `done` is called with its response."""
-
-    def put_machine(
-        self,
-        name: str,
-        record: MachineRecord,
-        stamp: int,
-        shard: Shard,
-        done: Callable[[Result], None],
-    ) -> None:
-        """Write a machine's record, on condition that this controller still holds the shard."""
-
 
 class MachineAdoption:
     """Writes the records of unknown machines and answers their reports after that.
--- a/sagecove/coordination/reachability.py
+++ b/sagecove/coordination/reachability.py
@@ -18,9 +18,9 @@
 
 import logging
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
-from sagecove.coordination.interfaces import BaseContext, ResponseCallback
+from sagecove.coordination.interfaces import BaseContext, RequestSender
 from sagecove.coordination.model import LAUNCH_SENT, Machine, Placement
 from sagecove.protocol import workers as worker_protocol
 from sagecove.storage.store import decode_answer
@@ -33,13 +33,8 @@
 RETURN_AFTER_LEASES_COUNT = 4.0
 
 
-class CallContext(BaseContext, Protocol):
-    """The owner's tables, and calls to machines."""
-
-    def call(
-        self, target: str, method: str, path: str, body: Any, timeout: float, done: ResponseCallback
-    ) -> None:
-        """Send a request; `done` is called with its response."""
+class ReachabilityContext(BaseContext, RequestSender, Protocol):
+    """The owner's tables, and requests to machines."""
 
 
 class Reachability:
@@ -47,7 +42,7 @@
 
     def __init__(
         self,
-        context: CallContext,
+        context: ReachabilityContext,
         lease_expiry_s: float,
         stop_task: Callable[[Placement, float, str], None],
     ) -> None:
@@ -99,6 +94,7 @@
             ):
                 log.info("machine hears again machine=%s", machine.name)
                 machine.unreachable_since, machine.missed_answer_count = None, 0
+                machine.idle_since = now
                 self.unreachable.pop(machine.name, None)
 
     def _count_missed_answer(self, now: float, machine: Machine) -> None:
