Settings with six seconds between worker lease and `cancel_s` are accepted

Cause: the sum that has to fit into `cancel_s` contained 4 s for a direct launch without a response, which could be executed after its sender had lost its right. Since launches travel in answers only, nothing is executed after the end of a worker's lease that begins when the report was *sent*, before the holder's last answer.

Change: controller's lease, worker's lease and drift have to fit into `cancel_s`. With 6 and 12 s a lease is 3.9 s, with 8 and 14 s 4.3 s. On the known deployments the lease stays as it is (0.65 of the workers' or 0.72 of the difference is less). Settings that leave less than 2 s are refused as before.

--- a/sagecove/config.py
+++ b/sagecove/config.py
@@ -168,14 +168,12 @@
         cover outages that last longer.
 
         The sum, from the moment when a user gets the answer to a cancellation: a holder that does
-        not know of it acts for at most one more lease (its own, or a promise given before);
-        a launch sent at the end of that gets no answer for `WORKER_ANSWER_TIMEOUT_S`; the worker
-        may have been answered until then, and its lease begins there. Each of these is measured
-        by clocks that differ by `clock_drift_ratio`.
+        not know of it acts for at most one more lease (its own, or a promise given before); its
+        last answer, which may carry a launch, renews a worker's lease, counted from when the
+        report was sent. Each of these is measured by clocks that differ by `clock_drift_ratio`.
         """
         workers = self.params.workers
-        available_s = workers.cancel_s - WORKER_ANSWER_TIMEOUT_S
-        longest_s = available_s / (1 + self.clock_drift_ratio) - workers.lease_s
+        longest_s = workers.cancel_s / (1 + self.clock_drift_ratio) - workers.lease_s
         return min(0.65 * workers.lease_s, 0.72 * (workers.cancel_s - workers.lease_s), longest_s)
 
 
