Stops are sent directly while a report is held, so that a launch can use the room at once

A stop for another job released the held report; the response to a direct command shows the freed room within milliseconds, but the launch then had to wait for the next report, half a second or more.

--- a/sagecove/coordination/worker_commands.py
+++ b/sagecove/coordination/worker_commands.py
@@ -113,12 +113,7 @@
         for placement in machine.tasks.values():
             if len(orders) >= MAX_COMMANDS_COUNT:
                 break
-            if (
-                placement.state != LAUNCH_SENT
-                or placement.stop_grace_s is not None
-                or placement.job is None
-                or placement.job.id not in self.context.jobs
-            ):
+            if not self._is_launch_due(placement):
                 continue
             orders.append(
                 worker_protocol.WorkerCommand(
@@ -128,6 +123,15 @@
             placement.answered_seq = seq
             machine.launches.note_answer(placement.launch, seq, self.context.now)
 
+    def _is_launch_due(self, placement: Placement) -> bool:
+        """Return whether a task is to be started that no report has shown yet."""
+        return (
+            placement.state == LAUNCH_SENT
+            and placement.stop_grace_s is None
+            and placement.job is not None
+            and placement.job.id in self.context.jobs
+        )
+
     def _stops_and_reaps(
         self, machine: Machine
     ) -> tuple[list[worker_protocol.WorkerCommand], list[worker_protocol.WorkerCommand]]:
@@ -156,7 +160,11 @@
         self.urgent_machines[machine.name] = machine
 
     def send_urgent_commands(self, now: float) -> None:
-        """Send urgent commands directly to workers; the answer to the next report repeats them."""
+        """Send urgent commands directly, or with launches in the answer to a held report.
+
+        The answer to the next report repeats them. Stops alone leave a report held: the response
+        to them shows the room that has become free, and a launch can use it at once.
+        """
         context = self.context
         if not context.leadership.may_act(now):
             return
@@ -165,7 +173,8 @@
             if shard is None or shard.yielding or not machine.tasks_known or not machine.addr:
                 del self.urgent_machines[machine.name]
                 continue
-            if self.answer_held_report(machine):
+            launch_due = any(map(self._is_launch_due, machine.tasks.values()))
+            if launch_due and self.answer_held_report(machine):
                 self.urgent_machines.pop(machine.name, None)
                 continue
             if machine.open_call_count:
