--- a/sagecove/sweeps/blocks.py
+++ b/sagecove/sweeps/blocks.py
@@ -443,6 +443,8 @@
                 self.repeat_write = lambda: self._commit(
                     shard, conditions, changes, jobs, releasing, True
                 )
+                # With its last decision under way, the block was taken off the list.
+                self.manager.blocks_to_write[self.key] = self
                 return
             self.write_open = False
             for job in jobs + releasing:
