--- a/tests/test_copied_messages.py
+++ b/tests/test_copied_messages.py
@@ -102,5 +102,6 @@
 def test_all_kinds_of_requests_are_copied() -> None:
     # Guards against a search that copies nothing.
     history = CopiedMessages(0, CopiedRequests.ALL, OtherFault.NONE)
+    history.copy_share = 1.0
     history.play()
     assert all(history.world.message_copies.copy_counts[kind] > 0 for kind in RequestKind)
