--- a/bench/copied_commands.py
+++ b/bench/copied_commands.py
@@ -32,7 +32,9 @@
     def submit_job(self) -> None:
         """Submit an array, and the next one later."""
         self.job_count += 1
-        job = job_submission(self.job_count, hands=6, vcpus=1.0, reckonS=6.0, rank="low")
+        # Every third job is urgent: tasks are stopped for it, by direct commands.
+        rank = "low" if self.job_count % 3 else "urgent"
+        job = job_submission(self.job_count, hands=6, vcpus=2.0, reckonS=6.0, rank=rank)
         body = json.dumps(job).encode()
         self.lab.send_request(
             self.lab.user_address, "POST", "/api/jobs", body, 5.0, lambda status, answer: None
--- a/sagecove/coordination/held_reports.py
+++ b/sagecove/coordination/held_reports.py
@@ -7,8 +7,8 @@
 - A machine that runs nothing has no lease to lose: its report is held for a good part of the
   report interval.
 - Any other report is held for the next scheduling passes, which may use room that the report shows
-  to be free. A lease counts from when the report was sent, so a longer hold would
-  leave less of it to whoever takes over after this controller has ended.
+  to be free. A lease counts from when the report was sent, so a longer hold would leave less of it
+  to whoever takes over after this controller has ended.
 """
 
 from __future__ import annotations
--- a/tests/test_held_launches.py
+++ b/tests/test_held_launches.py
@@ -119,6 +119,7 @@
     tracker.note_answer(LAUNCH, seq=5, now=100.0)
     tracker.note_report(5)
     assert tracker.may_arrive(LAUNCH, now=100.0 + WORKER_ANSWER_TIMEOUT_S)
+    assert not tracker.may_arrive((TASK, 8), now=100.0)
     assert not tracker.may_arrive(LAUNCH, now=105.0)
     tracker.note_report(6)
     assert not tracker.may_arrive(LAUNCH, now=100.0)
