A job is accepted or refused by the meaning of its known fields alone

Cause: `Users.submit` refused new jobs whose body has more than half a value's bytes (8,192 with values of 16 KiB). It measured what was sent, not what is kept. The same class, the form of a message decides instead of its content: values that the decoder can't skip (nested some 960 levels deep, unpaired surrogate escapes) in unknown fields, `hands` written 16.0, amounts above 1e9, names of more than 200 characters, many or repeated names in `breeds`, all 400; a chunked body over 64 KiB was 400 also for a known job. And the other way round: an accepted job was assumed to have at most 1,024 bytes when the claims of an array were bounded, so its record could outgrow its value and no result could be written.

Change: `decode_submission` reads the known fields in any spelling; `job_to_keep` shortens what is kept (digests for names that only tell classes and images apart, `breeds` reduced to what the cloud offers) and what still exceeds half a value is put off with 503, never accepted. Claims are bounded by the record's own length. Submissions have a module of their own.

--- a/sagecove/coordination/claims/claimer.py
+++ b/sagecove/coordination/claims/claimer.py
@@ -30,7 +30,6 @@
 
 CLAIM_BATCH_COUNT = 4  # open claims at one time (the paper's batchSize: claims of one poll)
 RETRY_TURN_COUNT = 12  # controllers that lost the race for a record retry in turn: turns per poll
-LARGE_TASK_COUNT = 1000  # records of smaller arrays fit any value, in whatever order tasks finish
 REQUEST_TASK_COUNT = 200  # tasks of an array in one request for more of its team's limit
 
 
@@ -187,7 +186,7 @@
     def limit_to_record_size(self, job: JobRun, count: int) -> int:
         """Cap `count` at the tasks whose claims fit the job's record, whatever finishes first.
         Records of huge arrays outgrew a value of 8 KiB, and no result could be written any more."""
-        if not job.array or job.durable_state is not None or job.spec.tasks < LARGE_TASK_COUNT:
+        if not job.array or job.durable_state is not None:
             return count
         held = job.all_tasks & ~job.finished & ~job.unclaimed
         settings = self.context.settings
--- a/sagecove/coordination/interfaces.py
+++ b/sagecove/coordination/interfaces.py
@@ -13,6 +13,7 @@
 from sagecove.config import Settings
 from sagecove.coordination.effects import IncomingRequest
 from sagecove.coordination.model import JobRun, Machine, Placement, Shard
+from sagecove.coordination.refusals import RequestKind
 from sagecove.protocol import state as wire
 from sagecove.protocol.cloud import MachineType
 from sagecove.storage.mirror import Event
@@ -215,7 +216,7 @@
     def tick(self, now: float) -> None:
         """Do periodic work, about every `TICK_S`."""
 
-    def answer_unknown_job(self, kind: str, job_id: str, exchange: Any) -> bool:
+    def answer_unknown_job(self, kind: RequestKind, job_id: str, exchange: Any) -> bool:
         """Answer a `status`, `cancel` or `submit` request for a job unknown to the core, after the
         read that such an answer requires. Return whether the feature answers."""
 
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -11,14 +11,14 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
 from sagecove.coordination.effects import Reply
-from sagecove.coordination.interfaces import SubmissionGuard
 from sagecove.coordination.model import JobRun
-from sagecove.coordination.placement import NoRoomCache, type_allowed
+from sagecove.coordination.placement import NoRoomCache
+from sagecove.coordination.refusals import RefusedSubmission, RequestKind
+from sagecove.coordination.submissions import SubmissionClaim, Submissions
 from sagecove.protocol import state as wire
 from sagecove.protocol import users as api
+from sagecove.protocol.decoding import MalformedMessage, convert_message
 from sagecove.protocol.state import Pair
 from sagecove.storage import taskset
 from sagecove.storage.records import (
@@ -26,7 +26,6 @@
     HOLDER_PREFIX,
     JOB_PREFIX,
     FinalStateRecord,
-    JobRecord,
 )
 from sagecove.storage.store import Outcome, Result, decode_answer
 
@@ -36,12 +35,6 @@
 log = logging.getLogger("sagecove.users")
 
 FINAL_STATES_KEPT_COUNT = 20_000
-REFUSAL_PREFIX = "refuse:"
-
-
-def refusal_kind(status: int, reason: str) -> str:
-    """Return the kind of a submission that is refused unless its job is already known."""
-    return f"{REFUSAL_PREFIX}{status}:{reason}"
 
 
 class Users:
@@ -53,12 +46,12 @@
         self.final_states: OrderedDict[str, tuple[str, int]] = OrderedDict()
         # Waiting for a read: (number, kind, job id, exchange); for `call` the last is a callback
         # for the read's success. Numbers give the order: a later request may have the same time.
-        self.waiting_requests: list[tuple[int, str, str, Any]] = []
+        self.waiting_requests: list[tuple[int, RequestKind, str, Any]] = []
         self.request_count = 0
         # Open reads of final states: requests that wait for them, and requests that came later.
-        self.open_reads: dict[str, list[tuple[str, Any]]] = {}
-        self.queued_reads: dict[str, list[tuple[str, Any]]] = {}
-        self.open_submissions: dict[str, list[Any]] = {}
+        self.open_reads: dict[str, list[tuple[RequestKind, Any]]] = {}
+        self.queued_reads: dict[str, list[tuple[RequestKind, Any]]] = {}
+        self.submissions = Submissions(owner, self)
 
     # -- answers --------------------------------------------------------------------------------
 
@@ -84,7 +77,7 @@
         if len(self.final_states) > FINAL_STATES_KEPT_COUNT:
             self.final_states.popitem(last=False)
 
-    def _reply_final_state(self, kind: str, job_id: str, exchange: Any) -> None:
+    def _reply_final_state(self, kind: RequestKind, job_id: str, exchange: Any) -> None:
         state, tasks = self.final_states[job_id]
         if kind == "status":
             done = tasks if state == api.DONE else 0
@@ -92,7 +85,7 @@
         else:
             self.reply(exchange, 200, api.JobStatus(job_id, state))
 
-    def _reply_live_state(self, kind: str, job: JobRun, exchange: Any) -> None:
+    def _reply_live_state(self, kind: RequestKind, job: JobRun, exchange: Any) -> None:
         owner = self.owner
         done = (job.finished | job.finished_unrecorded).bit_count()
         running = job.running_count
@@ -107,129 +100,19 @@
 
     def submit(self, body: bytes, exchange: Any) -> None:
         """Handle the submission of a job."""
-        owner = self.owner
-        try:
-            job = api.decode_job(body)
-        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-            self.reply(exchange, 400, api.Refusal(str(error)[:300]))
-            return
-        # An id reserved by a feature can't have been accepted: guards are part of the transaction.
-        guards = [feature.submission_guard(job.id) for feature in owner.features]
-        refusal = next((guard for guard in guards if isinstance(guard, str)), None)
-        if refusal is not None:
-            self.reply(exchange, 422, api.Refusal(refusal))
-            return
-        # Known jobs are answered first: they were accepted, even if they would be refused now.
-        if job.id in self.final_states:
-            self._reply_final_state("submit", job.id, exchange)
-            return
-        if job.id in owner.jobs:
-            self.answer_after_read("submit", job.id, exchange)
-            return
-        if len(body) > owner.settings.params.state.value_kb * 512:
-            # Its record, with its task sets, would exceed the state service's value size.
-            self.answer_after_read(
-                refusal_kind(400, "the submission is too long"), job.id, exchange
-            )
-            return
-        if not owner.mirror.loaded or not owner.machine_types:
-            self.refuse_for_now(exchange, "the machine types are not known yet")
-            return
-        if not owner.sync.connected():
-            self.refuse_state_unavailable(exchange)
-            return
-        reason = self.impossible_reason(job)
-        if reason is not None:
-            # It must not be refused if it was accepted earlier, under other conditions.
-            self.answer_after_read(refusal_kind(422, reason), job.id, exchange)
-            return
-        if job.id in self.open_submissions:
-            self.open_submissions[job.id].append(exchange)
-            return
-        if len(owner.store.urgent) > 100:
-            self.refuse_for_now(exchange, "too many requests at once", 2.0)
-            return
-        self._write_submission(
-            job, exchange, [guard for guard in guards if isinstance(guard, SubmissionGuard)]
-        )
-
-    def impossible_reason(self, job: api.Job) -> str | None:
-        """Return why a job can never run, or None if it can."""
-        owner = self.owner
-        team = owner.limits.teams.get(job.team)
-        if team is None:
-            return f"unknown team {job.team}"
-        fitting = [
-            t
-            for t in owner.machine_types.values()
-            if type_allowed(job, t) and (job.zone is None or job.zone in t.zones)
-        ]
-        if not fitting:
-            return "a task fits no allowed machine type"
-        count = 1 if job.kind == api.ARRAY else job.tasks
-        if count * job.cpus > team.cpus_max + 1e-6 or count * job.gpus > team.gpus_max + 1e-6:
-            return f"needs more than the limit of team {job.team}"
-        if job.spread and job.tasks > 1 and job.kind != api.ARRAY:
-            zones = {z for t in fitting for z in t.zones if job.zone in (None, z)}
-            if job.one_zone or len(zones) < 2:
-                return "its tasks can't be both apart in zones and all in one"
-        return None
-
-    def _write_submission(self, job: api.Job, exchange: Any, guards: list[SubmissionGuard]) -> None:
-        """Write a submission, with a claim if this controller has room for the job."""
-        owner = self.owner
-        job_id = job.id
-        self.open_submissions[job_id] = [exchange]
-        record = JobRecord(job, owner.wall())
-        own_conditions = [(JOB_PREFIX + job_id, 0), (FINAL_STATE_PREFIX + job_id, 0)]
-        additional: list[wire.Put | wire.Delete] = []
-        for guard in guards:
-            own_conditions += guard.conditions
-            additional += guard.changes
-        conditions = list(own_conditions)
-        changes: list[wire.Put | wire.Delete] = [wire.Put(JOB_PREFIX + job_id, record), *additional]
-        job_run = JobRun(record, 0)
-        job_run.first_seen_at = owner.now
-        if job_run.service:
-            owner.estimates.update_avoided_types(job_run)
-        claim = self._claim_at_submission(job_run)
-        if claim is not None:
-            changes = [claim[0], *additional]
-            conditions.append(claim[1])
-
-        def done(result: Result) -> None:
-            if result.outcome is Outcome.CONFLICT and claim is not None:
-                own_keys = [key for key, _ in own_conditions]
-                if not any(key in own_keys for key in result.failed):
-                    put = wire.Put(JOB_PREFIX + job_id, record)
-                    owner.commit(own_conditions, [put, *additional], stored, urgent=True)
-                    return
-            stored(result)
-
-        def stored(result: Result) -> None:
-            waiters = self.open_submissions.pop(job_id, [])
-            if result.outcome is Outcome.DONE:
-                log.info(
-                    "accepted job=%s team=%s class=%s tasks=%d",
-                    job_id,
-                    job.team,
-                    job.klass,
-                    job.tasks,
-                )
-                for waiter in waiters[:1]:
-                    self.reply(waiter, 201, api.JobStatus(job_id, api.PENDING))
-                for waiter in waiters[1:]:
-                    self.reply(waiter, 200, api.JobStatus(job_id, api.PENDING))
-            elif result.outcome is Outcome.CONFLICT:
-                for waiter in waiters:
-                    self.answer_after_read("submit", job_id, waiter)
-            else:
-                for waiter in waiters:
-                    self.refuse_state_unavailable(waiter)
-
-        owner.commit(conditions, changes, done, urgent=True)
-
-    def _claim_at_submission(self, job: JobRun) -> tuple[wire.Put, tuple[str, int]] | None:
+        self.submissions.submit(body, exchange)
+
+    def answer_if_known(self, job_id: str, exchange: Any) -> bool:
+        """Answer a submission if its job is known to this controller; return whether it is."""
+        if job_id in self.final_states:
+            self._reply_final_state("submit", job_id, exchange)
+            return True
+        if job_id in self.owner.jobs:
+            self.answer_after_read("submit", job_id, exchange)
+            return True
+        return False
+
+    def claim_at_submission(self, job: JobRun) -> SubmissionClaim | None:
         """Return the record with a claim for this node's shard, and its condition, if it fits."""
         owner = self.owner
         node = owner.settings.node
@@ -275,7 +158,7 @@
 
     # -- reads ----------------------------------------------------------------------------------
 
-    def answer_after_read(self, kind: str, job_id: str, exchange: Any) -> None:
+    def answer_after_read(self, kind: RequestKind, job_id: str, exchange: Any) -> None:
         """Answer from memory if the state is final, else after a read that begins from now on."""
         owner = self.owner
         if not api.JOB_ID_PATTERN.match(job_id):
@@ -330,7 +213,7 @@
             elif not any(f.answer_unknown_job(kind, job_id, exchange) for f in owner.features):
                 self.read_final_state(kind, job_id, exchange)
 
-    def read_final_state(self, kind: str, job_id: str, exchange: Any) -> None:
+    def read_final_state(self, kind: RequestKind, job_id: str, exchange: Any) -> None:
         """Answer for a job that is not live: it is over or was never accepted."""
         if job_id in self.open_reads:
             # The open read may be executed already, and the job accepted and finished since then.
@@ -338,7 +221,7 @@
         else:
             self._read_final_record(job_id, [(kind, exchange)])
 
-    def _read_final_record(self, job_id: str, waiters: list[tuple[str, Any]]) -> None:
+    def _read_final_record(self, job_id: str, waiters: list[tuple[RequestKind, Any]]) -> None:
         owner = self.owner
         self.open_reads[job_id] = waiters
 
@@ -347,8 +230,8 @@
             pair = decode_answer(body, Pair) if status == 200 else None
             if pair is not None:
                 try:
-                    record = msgspec.convert(pair.value, FinalStateRecord)
-                except msgspec.ValidationError:
+                    record = convert_message(pair.value, FinalStateRecord)
+                except MalformedMessage:
                     status = None
                 else:
                     self.remember_final_state(job_id, record.state, record.tasks, pair.version)
@@ -357,10 +240,8 @@
                     self._reply_final_state(kind, job_id, exchange)
                 elif status != 404:
                     self.refuse_for_now(exchange, "the state service does not answer")
-                elif kind.startswith(REFUSAL_PREFIX):
-                    code, _, reason = kind.removeprefix(REFUSAL_PREFIX).partition(":")
-                    log.info("refused job=%s why=%s", job_id, reason)
-                    self.reply(exchange, int(code), api.Refusal(reason))
+                elif isinstance(kind, RefusedSubmission):
+                    self.submissions.refuse(exchange, kind)
                 elif kind == "submit":
                     self.refuse_for_now(exchange, "try again")
                 else:
--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -20,6 +20,16 @@
 from sagecove.lab.fakes import FakeCloud, FakeStateService, FakeWorker
 from sagecove.lab.network import Network
 from sagecove.lab.rule_checker import RuleChecker
+from sagecove.protocol.decoding import MalformedMessage, decoder
+
+
+class _NamedSubmission(msgspec.Struct):
+    """What the checker reads of a submission."""
+
+    nameId: str
+
+
+_decode_named = decoder(_NamedSubmission)
 
 
 class World(Network, RuleChecker):
@@ -212,11 +222,12 @@
     @staticmethod
     def _job_of_request(path: str, body: Any) -> str:
         if path == "/api/jobs":
+            if not isinstance(body, bytes):
+                return str(body.get("nameId"))
             try:
-                submission = json.loads(body) if isinstance(body, bytes) else body
-            except ValueError:
+                return _decode_named(body).nameId
+            except MalformedMessage:
                 return ""
-            return str(submission.get("nameId")) if isinstance(submission, dict) else ""
         return path.split("/")[3]
 
     def poll_jobs(self, interval_s: float = 5.0) -> None:
--- a/sagecove/protocol/users.py
+++ b/sagecove/protocol/users.py
@@ -8,8 +8,13 @@
 
 JOB_ID_PATTERN = re.compile(r"^run-[A-Za-z0-9_.-]{1,100}\Z")
 
-Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
-Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+# Bounds of what is kept of a job: amounts, the lengths of names, and the number of tasks.
+MAX_AMOUNT = 1e9
+MAX_NAME_LENGTH = 200
+MAX_TASK_COUNT = 100_000
+
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
 
 ARRAY, GANG, SERVICE = "sweep", "ensemble", "service"
 PENDING, RUNNING, DONE, CANCELLED = "pending", "running", "done", "aborted"
@@ -42,14 +47,14 @@
     },
     frozen=True,
 ):
-    """A job as a user submits it."""
+    """A job as it is kept; `submissions` decodes what users send."""
 
     id: Annotated[str, msgspec.Meta(pattern=JOB_ID_PATTERN.pattern)]
     klass: Name
     team: Name
     kind: Annotated[str, msgspec.Meta(pattern=r"^(sweep|ensemble|service)\Z")]
     priority: Annotated[str, msgspec.Meta(pattern=r"^(production|urgent|normal|low)\Z")]
-    tasks: Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+    tasks: Annotated[int, msgspec.Meta(ge=1, le=MAX_TASK_COUNT)]
     cpus: Amount
     gpus: Amount
     memory_gb: Amount
@@ -90,6 +95,3 @@
     """The body of an answer that reports an error."""
 
     error: str
-
-
-decode_job = msgspec.json.Decoder(Job).decode
--- a/sagecove/storage/records.py
+++ b/sagecove/storage/records.py
@@ -15,10 +15,6 @@
 from sagecove.protocol.users import Job
 from sagecove.storage import taskset
 
-# Assumed upper bound of an encoded submission. Where the record would fit with a submission of this
-# size, the actual one is not encoded to measure it.
-SPEC_LIMIT_BYTES = 1024
-
 LIVE_PREFIX = "s/"
 JOB_PREFIX = "s/job/"
 MACHINE_PREFIX = "s/machine/"
@@ -54,9 +50,9 @@
     spec = record.spec
     limit_bytes = value_kb * 1024 - 128
     sets_bytes = (shards + 1) * taskset.max_text_bytes(spec.tasks, spec.tasks)
-    if sets_bytes + SPEC_LIMIT_BYTES < limit_bytes:
-        return spec.tasks
     fixed_bytes = len(msgspec.json.encode(record.spec)) + 64 * shards
+    if fixed_bytes + sets_bytes < limit_bytes:
+        return spec.tasks
     # Tasks that are neither claimed nor finished but lie below the highest such task: each may
     # split a run of finished tasks.
     highest = (finished | claimed).bit_length()
--- a/sagecove/sweeps/manager.py
+++ b/sagecove/sweeps/manager.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from sagecove.coordination.interfaces import SubmissionGuard
+from sagecove.coordination.refusals import RequestKind
 from sagecove.protocol import state as wire
 from sagecove.protocol.users import CANCELLED, DONE
 from sagecove.storage import taskset
@@ -268,7 +269,7 @@
         why = (
             spec
             if isinstance(spec, str)
-            else sweep.impossible_reason(spec, self.owner.users.impossible_reason)
+            else sweep.impossible_reason(spec, self.owner.users.submissions.impossible_reason)
         )
         if why is not None:
             block.unwritten_failures[k] = why
@@ -529,7 +530,7 @@
             self._routes = Routes(self)
         return self._routes
 
-    def answer_unknown_job(self, kind: str, job_id: str, exchange: Any) -> bool:
+    def answer_unknown_job(self, kind: RequestKind, job_id: str, exchange: Any) -> bool:
         """Answers a request about a job unknown to the core if its id has the form of a point's."""
         if records.parse_point_id(job_id) is None:
             return False
--- a/sagecove/sweeps/routes.py
+++ b/sagecove/sweeps/routes.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from sagecove.coordination.effects import IncomingRequest
+from sagecove.coordination.refusals import RefusedSubmission, RequestKind
 from sagecove.protocol import state as state_protocol
 from sagecove.protocol.users import (
     CANCELLED,
@@ -298,7 +299,12 @@
                 job = compiled.render(request.nameId, request.values)
             except TemplateError as error:
                 raise RequestRefused(422, str(error)) from None
-            self.users.submit(msgspec.json.encode(job), incoming.exchange)
+            body = msgspec.json.encode(job)
+            if len(body) > self.max_value_bytes:
+                # Workers get the description from the record, so it can't be shortened.
+                limit = f"{self.max_value_bytes:.0f} bytes"
+                raise RequestRefused(413, f"the job's description is longer than {limit}")
+            self.users.submit(body, incoming.exchange)
 
         self._find_template(name, request.version, incoming.exchange, on_template)
 
@@ -408,7 +414,11 @@
                 spec = sweep.point_spec(point_number)
                 if spec is None:
                     continue
-                why = spec if isinstance(spec, str) else self.users.impossible_reason(spec)
+                why = (
+                    spec
+                    if isinstance(spec, str)
+                    else self.users.submissions.impossible_reason(spec)
+                )
                 point = {"point": point_number, "values": sweep.point_values(point_number)}
                 answer.append({**point, "failed": why} if why else {**point, "job": spec})
                 if len(answer) == PREVIEW_POINT_COUNT:
@@ -636,7 +646,7 @@
 
         self.owner.store.read(self.owner.now, key, on_answer)
 
-    def answer_point_request(self, kind: str, job_id: str, exchange: Any) -> None:
+    def answer_point_request(self, kind: RequestKind, job_id: str, exchange: Any) -> None:
         """Answer a user's request for a job id that is a point's and is no job on this controller.
 
         The caller has completed a read of the state service before.
@@ -660,7 +670,7 @@
                 lambda: self.users.read_final_state(kind, job_id, exchange),
             )
 
-    def _reply_final_state(self, kind: str, job_id: str, state: str, exchange: Any) -> None:
+    def _reply_final_state(self, kind: RequestKind, job_id: str, state: str, exchange: Any) -> None:
         if state == CANCELLED:
             # The mirror's revision covers a cancellation known from the mirror; for one known
             # from a read, that read has raised the floor already.
@@ -674,14 +684,14 @@
 
     def _answer_for_point(
         self,
-        kind: str,
+        kind: RequestKind,
         sweep: Sweep,
         point_number: int,
         ended_sweep: sweep_records.EndedSweepRecord | None,
         exchange: Any,
     ) -> None:
         users = self.users
-        if kind == "submit" or kind.startswith("refuse:"):
+        if kind == "submit" or isinstance(kind, RefusedSubmission):
             why = f"the id belongs to point {point_number} of sweep {sweep.id}"
             self._refuse(exchange, RequestRefused(422, why))
             return
--- a/sagecove/transport/server.py
+++ b/sagecove/transport/server.py
@@ -61,7 +61,7 @@
         """Pass a complete request to the handler."""
         self.notifyFinish().addErrback(self._connection_ended)
         if self._body_too_long:
-            self.reply(400, b'{"error":"the body is longer than 64 KiB"}')
+            self.reply(413, b'{"error":"the body is longer than 64 KiB"}')
             return
         handler: Callable[[str, str, bytes, Exchange], None] = self.channel.factory.handler
         path = self.path.decode("latin-1")
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -167,6 +167,16 @@
         assert not opened[1].connected and harness.server.open_count == 0
 
 
+def test_chunked_body_over_the_limit_is_not_called_malformed() -> None:
+    # A repeated submission of a known job that gets 400 counts as forgotten; 413 is retried.
+    channel, transport = connect(lambda *_: None)
+    channel.dataReceived(b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+    for _ in range(2):
+        channel.dataReceived(b"8001\r\n" + b" " * 0x8001 + b"\r\n")
+    channel.dataReceived(b"0\r\n\r\n")
+    assert transport.value().startswith(b"HTTP/1.1 413")
+
+
 class ClientHarness:
     """A client, and the other end of its connections."""
 
