One place decodes what comes from outside; a request that raises costs itself alone

What callers saw: a report, a submission to a peer or a hint nested some 1,000 levels deep got no answer, and what had come in the same batch was lost: answers of the state service, renewals, the tick. A worker's report with an unpaired surrogate in an unknown field got 400, so that its machine would lose its session.

Cause: ten `except` clauses listed what a decoder may raise, and only two of them named RecursionError; `Owner.handle` let any exception of one command end the whole batch, and a failing timer run was not scheduled again. The same way: numbers of 5,000 digits in a query (ValueError), a record with a set of tasks in a form of a later build (ValueError in the middle of a watch's answer, again and again), an effect that can't be encoded.

Change: `protocol/decoding.py` makes every decoder; it raises MalformedMessage and nothing else. Values too deep for msgspec are cut out and checked apart in linear time, so nesting decides nothing and has no limit. A change that can't be applied leaves its job known. The test world fails at the first contained exception.

test_invalid_requests_are_rejected asserted 400 for a list of 100 unknown machine types (15 KB, "too long"); it now asserts 422 with the reason, as that job fits no machine type whatever its length.

--- a/sagecove/coordination/claims/scheduling_pass.py
+++ b/sagecove/coordination/claims/scheduling_pass.py
@@ -39,6 +39,12 @@
 from sagecove.coordination.placement import NoRoomCache, RoomByMachine, promise_reserved
 from sagecove.coordination.preemption_policy import PreemptionPolicy
 
+# Time between two scheduling passes. Up to `JOBS_PER_MIN_INTERVAL_COUNT` open jobs the minimum; it
+# grows with more, since a pass then costs more; the maximum is of the order of a tick.
+MIN_PASS_INTERVAL_S = 0.08
+MAX_PASS_INTERVAL_S = 0.5
+JOBS_PER_MIN_INTERVAL_COUNT = 30
+
 
 class SchedulingPass:
     """Runs scheduling passes over the shards that this controller holds."""
@@ -101,6 +107,13 @@
         # Number of jobs that the last pass had to look at, resting ones included.
         self.open_job_count = 0
 
+    def interval_s(self) -> float:
+        """Return the seconds between two passes."""
+        return min(
+            MAX_PASS_INTERVAL_S,
+            MIN_PASS_INTERVAL_S * max(1.0, self.open_job_count / JOBS_PER_MIN_INTERVAL_COUNT),
+        )
+
     def run(self, now: float) -> None:
         """Run one pass over all shards for which this controller may act."""
         shards = [self.context.held_shards[s] for s in self.shards.active_shards(now)]
--- a/sagecove/coordination/mirror_sync.py
+++ b/sagecove/coordination/mirror_sync.py
@@ -75,7 +75,7 @@
         events = self.owner.mirror.differences(self.loaded_items, self.load_revision)
         self.loaded_items = {}
         for event in events:
-            self.owner.apply_event(event)
+            self.apply(event)
         first = not self.owner.mirror.loaded
         self.owner.mirror.loaded = True
         self._advance(self.load_revision, self.load_started_at)
@@ -93,6 +93,14 @@
             log.error("unreadable record key=%s", key)
             self.unreadable_job_keys.add(key)
 
+    def apply(self, event: Event) -> None:
+        """Apply a change to the owner; an exception does not stop the changes beside it."""
+        if not self.owner.containment.run("change", self.owner.apply_event, event):
+            job_id = event.key.removeprefix(records.JOB_PREFIX)
+            if event.key != job_id and event.value is not None and job_id not in self.owner.jobs:
+                # The job is accepted, so it must not be answered with 404.
+                self.unreadable_job_keys.add(event.key)
+
     def watch(self, now: float) -> None:
         """Ask the state service for the next changes; it answers when there are some."""
         self.watching = True
@@ -146,10 +154,10 @@
                     if change.put is not None:
                         value = self.owner.parse(change.put, change.value)
                         self._track_readable(change.put, value)
-                        self.owner.apply_event(Event(change.put, value, change.version))
+                        self.apply(Event(change.put, value, change.version))
                     elif change.delete is not None:
                         self.unreadable_job_keys.discard(change.delete)
-                        self.owner.apply_event(Event(change.delete, None, change.version))
+                        self.apply(Event(change.delete, None, change.version))
                 # Waiting users may be answered only after a read that returns at once, which proves
                 # that no newer change existed when it began.
                 self._advance(answer.revision, started_at)
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -15,7 +15,8 @@
 from sagecove.coordination.backlog import Backlog
 from sagecove.coordination.cancellations import Cancellations
 from sagecove.coordination.claims.scheduling_pass import SchedulingPass
-from sagecove.coordination.effects import CallResult, Command, Effect, OutgoingCall
+from sagecove.coordination.containment import Containment
+from sagecove.coordination.effects import CallResult, Command, Effect, Reply
 from sagecove.coordination.estimates import Estimates
 from sagecove.coordination.event_counts import EventCounts
 from sagecove.coordination.failures import FailureTracker
@@ -37,6 +38,7 @@
 from sagecove.coordination.mirror_sync import MirrorSync
 from sagecove.coordination.model import JobRun, Machine, Shard
 from sagecove.coordination.peers import Peers
+from sagecove.coordination.pending_calls import PendingCalls
 from sagecove.coordination.preemption_policy import PreemptionPolicy
 from sagecove.coordination.provisioner import Provisioner
 from sagecove.coordination.request_router import RequestRouter
@@ -46,17 +48,13 @@
 from sagecove.coordination.workers import Workers
 from sagecove.protocol import state as wire
 from sagecove.protocol.cloud import MachineType
+from sagecove.protocol.users import Refusal
 from sagecove.storage import records
 from sagecove.storage.mirror import Event, Item, Mirror
 from sagecove.storage.store import Outcome, Result, Store
 
 log = logging.getLogger("sagecove.owner")
 
-# Time between two scheduling passes. Up to `JOBS_PER_MIN_INTERVAL_COUNT` open jobs the minimum; it
-# grows with more, since a pass then costs more; the maximum is of the order of a tick.
-MIN_PASS_INTERVAL_S = 0.08
-MAX_PASS_INTERVAL_S = 0.5
-JOBS_PER_MIN_INTERVAL_COUNT = 30
 # The owner is called at every tick; a longer time between calls means that the process paused.
 PROCESS_PAUSE_S = 8 * TICK_S
 
@@ -80,8 +78,7 @@
         self.running_since = now
         self._wall_offset = wall - now
         self.effects: list[Effect] = []
-        self.pending_calls: dict[int, ResponseCallback] = {}
-        self.last_call_token = 0
+        self.calls = PendingCalls()
         self.mirror = Mirror()
         state = settings.params.state
         self.store = Store(
@@ -95,6 +92,7 @@
         self.rentals: dict[str, Item] = {}
         self.held_shards: dict[str, Shard] = {}
         self.event_counts = EventCounts()
+        self.containment = Containment(self.event_counts)
         self.pass_needed = True
         # A job was added or removed: the next pass recomputes which jobs are within guarantees.
         self.jobs_changed = True
@@ -175,24 +173,25 @@
             self.leadership.peer_promises.clear()
         self.now = now
         self._wall_offset = wall - now
+        run = self.containment.run
         for command in commands:
             if isinstance(command, CallResult):
-                done = self.pending_calls.pop(command.token, None)
+                done = self.calls.pending.pop(command.token, None)
                 if done is not None:
-                    done(command.status, command.body)
-            else:
-                self.router.handle(command)
+                    run("answer", done, command.status, command.body)
+            elif not run("request", self.router.handle, command):
+                self.effects.append(Reply(command.exchange, 500, Refusal("internal error")))
         if now - self.last_tick_at >= TICK_S:
             self.last_tick_at = now
-            self._tick(now)
-        if self.pass_needed and now - self.last_pass_at >= self._pass_interval_s():
+            run("tick", self._tick, now)
+        if self.pass_needed and now - self.last_pass_at >= self.scheduling_pass.interval_s():
             self.pass_needed = False
             self.last_pass_at = now
-            self._pass(now)
-        self.workers.commands.send_urgent_commands(now)
-        self.workers.held_reports.answer_due(now)
-        self.sync.sync_if_due(now)
-        self.store.flush(now)
+            run("pass", self._pass, now)
+        run("commands", self.workers.commands.send_urgent_commands, now)
+        run("held reports", self.workers.held_reports.answer_due, now)
+        run("sync", self.sync.sync_if_due, now)
+        run("writes", self.store.flush, now)
         effects, self.effects = self.effects, []
         return effects
 
@@ -200,20 +199,13 @@
         """Return the seconds until `handle` has to be called again, even without commands."""
         delays_s = [TICK_S - (self.now - self.last_tick_at)]
         if self.pass_needed:
-            delays_s.append(self._pass_interval_s() - (self.now - self.last_pass_at))
+            delays_s.append(self.scheduling_pass.interval_s() - (self.now - self.last_pass_at))
         if self.sync.sync_requested and not self.sync.syncing:
             delays_s.append(self.sync.next_sync_at - self.now)
         if self.store.queued:
             delays_s.append(self.store.flush(self.now) or 0.01)
         return max(0.002, min(delays_s))
 
-    def _pass_interval_s(self) -> float:
-        return min(
-            MAX_PASS_INTERVAL_S,
-            MIN_PASS_INTERVAL_S
-            * max(1.0, self.scheduling_pass.open_job_count / JOBS_PER_MIN_INTERVAL_COUNT),
-        )
-
     def wall(self) -> float:
         """Return the wall clock time in seconds."""
         return self.now + self._wall_offset
@@ -227,23 +219,28 @@
             self.sync.load(now)
         elif not self.sync.watching and now >= self.sync.next_watch_at:
             self.sync.watch(now)
-        self.leadership.tick(now)
-        self.workers.tick(now)
-        self.provisioner.tick(now)
-        self.maintenance.return_idle(now)
-        self.room_requests.tick(now)
-        self.peers.send_hints(now)
-        self.peers.send_share_requests(now)
-        if self.leadership.provisioner_term:
-            self.maintenance.log_long_waits(now)
-        self.task_end_log.tick(now)
-        self.event_counts.tick(now)
+        # Each runs whether or not another one raises.
+        run = self.containment.run
+        run("leadership tick", self.leadership.tick, now)
+        run("workers tick", self.workers.tick, now)
+        run("provisioner tick", self.provisioner.tick, now)
+        run("returns", self.maintenance.return_idle, now)
+        run("room requests tick", self.room_requests.tick, now)
+        run("hints", self.peers.send_hints, now)
+        run("share requests", self.peers.send_share_requests, now)
+        run("long waits", self._log_long_waits, now)
+        run("task ends tick", self.task_end_log.tick, now)
+        run("event counts tick", self.event_counts.tick, now)
         if self.mirror.loaded and now - self.sync.synced_at > self.leadership.lease_s / 8:
             self.sync.request_sync()
         for feature in self.features:
-            feature.tick(now)
+            run("feature tick", feature.tick, now)
         self.pass_needed = True
 
+    def _log_long_waits(self, now: float) -> None:
+        if self.leadership.provisioner_term:
+            self.maintenance.log_long_waits(now)
+
     def _pass(self, now: float) -> None:
         if self.jobs_changed:
             self.jobs_changed = False
@@ -272,9 +269,7 @@
         self, target: str, method: str, path: str, body: Any, timeout: float, done: ResponseCallback
     ) -> None:
         """Emit a call; `done` is called with its outcome."""
-        self.last_call_token += 1
-        self.pending_calls[self.last_call_token] = done
-        self.effects.append(OutgoingCall(self.last_call_token, target, method, path, body, timeout))
+        self.effects.append(self.calls.add(target, method, path, body, timeout, done))
 
     def _send_to_state(
         self, method: str, path: str, body: Any, timeout: float, done: ResponseCallback
@@ -303,7 +298,7 @@
                     key = change.key
                     value = change.value if isinstance(change, wire.Put) else None
                     if key.startswith(records.LIVE_PREFIX):
-                        self.apply_event(Event(key, value, result.revision))
+                        self.sync.apply(Event(key, value, result.revision))
                     elif isinstance(value, records.FinalStateRecord):
                         job_id = key[len(records.FINAL_STATE_PREFIX) :]
                         self.users.remember_final_state(
--- a/sagecove/coordination/peers.py
+++ b/sagecove/coordination/peers.py
@@ -11,11 +11,10 @@
 from collections.abc import Iterator, Sequence
 from typing import TYPE_CHECKING, NamedTuple
 
-import msgspec
-
 from sagecove.coordination.effects import IncomingRequest, Reply
 from sagecove.coordination.interfaces import TICK_S, ResponseCallback
 from sagecove.coordination.model import Machine
+from sagecove.protocol.decoding import MalformedMessage
 from sagecove.protocol.peers import (
     Hint,
     Promise,
@@ -169,7 +168,7 @@
         def done(status: int | None, body: bytes) -> None:
             try:
                 answer = decode_promise(body) if status == 200 else None
-            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            except MalformedMessage as error:
                 log.info("unreadable promise node=%s why=%s", node, error)
                 answer = None
             if answer is not None:
@@ -197,7 +196,7 @@
                 self.owner.effects.append(Reply(request.exchange, 200, Promise()))
                 return
             hint = decode_hint(request.body)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except MalformedMessage as error:
             self._log_invalid(f"unreadable {request.path} why={error}")
             self.owner.effects.append(Reply(request.exchange, 400, Refusal("unreadable")))
             return
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -186,7 +186,6 @@
 
     def read_done(self, number: int, succeeded: bool) -> None:
         """Answer requests up to `number` after a read that began once they had arrived."""
-        owner = self.owner
         due = [entry for entry in self.waiting_requests if entry[0] <= number or not succeeded]
         if not due:
             return
@@ -195,23 +194,31 @@
         )
         for _, kind, job_id, exchange in due:
             if kind == "call":
-                exchange(succeeded)
-            elif not succeeded:
-                self.refuse_state_unavailable(exchange)
-            elif (job := owner.jobs.get(job_id)) is not None:
-                if kind == "cancel":
-                    self._cancel(job, exchange)
-                else:
-                    self._reply_live_state(kind, job, exchange)
-            elif JOB_PREFIX + job_id in owner.sync.unreadable_job_keys:
-                if kind == "cancel":
-                    self.refuse_for_now(exchange, "the job's record can't be read here", 5.0)
-                else:
-                    self.reply(exchange, 200, api.JobStatus(job_id, api.PENDING))
-            elif job_id in self.final_states:
-                self._reply_final_state(kind, job_id, exchange)
-            elif not any(f.answer_unknown_job(kind, job_id, exchange) for f in owner.features):
-                self.read_final_state(kind, job_id, exchange)
+                self.owner.containment.run("call after read", exchange, succeeded)
+            else:
+                self.owner.containment.run(
+                    "answer after read", self._answer_read, kind, job_id, exchange, succeeded
+                )
+
+    def _answer_read(self, kind: RequestKind, job_id: str, exchange: Any, succeeded: bool) -> None:
+        """Answer a request after the read that it has waited for."""
+        owner = self.owner
+        if not succeeded:
+            self.refuse_state_unavailable(exchange)
+        elif (job := owner.jobs.get(job_id)) is not None:
+            if kind == "cancel":
+                self._cancel(job, exchange)
+            else:
+                self._reply_live_state(kind, job, exchange)
+        elif JOB_PREFIX + job_id in owner.sync.unreadable_job_keys:
+            if kind == "cancel":
+                self.refuse_for_now(exchange, "the job's record can't be read here", 5.0)
+            else:
+                self.reply(exchange, 200, api.JobStatus(job_id, api.PENDING))
+        elif job_id in self.final_states:
+            self._reply_final_state(kind, job_id, exchange)
+        elif not any(f.answer_unknown_job(kind, job_id, exchange) for f in owner.features):
+            self.read_final_state(kind, job_id, exchange)
 
     def read_final_state(self, kind: RequestKind, job_id: str, exchange: Any) -> None:
         """Answer for a job that is not live: it is over or was never accepted."""
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -12,8 +12,6 @@
 import logging
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from sagecove.config import WORKER_ANSWER_TIMEOUT_S
 from sagecove.coordination.effects import Reply
 from sagecove.coordination.foreign_reports import ForeignReports
@@ -27,6 +25,7 @@
 from sagecove.coordination.tokens import holder_token
 from sagecove.coordination.worker_commands import WorkerCommands
 from sagecove.protocol import workers as worker_protocol
+from sagecove.protocol.decoding import MalformedMessage
 from sagecove.protocol.users import Refusal
 from sagecove.storage.store import Outcome, Result, decode_answer
 
@@ -92,8 +91,8 @@
                 or machine.last_task_list != bytes(report.tasks)
             ):
                 reported_tasks = worker_protocol.decode_task_reports(report.tasks)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            owner.effects.append(Reply(exchange, 400, Refusal(str(error)[:200])))
+        except MalformedMessage as error:
+            owner.effects.append(Reply(exchange, 400, Refusal(str(error))))
             return
         now = owner.now
         if machine is None:
@@ -380,7 +379,7 @@
             return
         try:
             reported_tasks = worker_protocol.decode_task_reports(report.tasks)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except MalformedMessage:
             return
         if self._is_newest(machine, report):
             token = holder_token(shard.term, machine)
--- a/sagecove/lab/submission_bodies.py
+++ b/sagecove/lab/submission_bodies.py
@@ -26,7 +26,7 @@
     fields = [
         (name, spell_value(random, name, value))
         for name, value in submission.items()
-        if value is not None or random.random() < 0.5
+        if value is not None or name not in NULLABLE_FIELDS or random.random() < 0.5
     ]
     fields += unknown_fields(random)
     random.shuffle(fields)
@@ -42,12 +42,12 @@
     """Return the JSON text of a known field in a random spelling."""
     if isinstance(value, str):
         return _string(random, value)
-    if isinstance(value, list):
+    if isinstance(value, list) and all(isinstance(item, str) for item in value):
         repeated = value * random.choice((1, 1, 2, 50))
         return "[" + ",".join(_string(random, item) for item in repeated) + "]"
-    if isinstance(value, bool) or value is None:
-        return json.dumps(value)
-    return _number(random, float(value))
+    if isinstance(value, int | float) and not isinstance(value, bool):
+        return _number(random, float(value))
+    return json.dumps(value)
 
 
 def unknown_fields(random: Random) -> list[tuple[str, str]]:
--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -19,7 +19,8 @@
 from sagecove.lab.deployment import controller_settings
 from sagecove.lab.fakes import FakeCloud, FakeStateService, FakeWorker
 from sagecove.lab.network import Network
-from sagecove.lab.rule_checker import RuleChecker
+from sagecove.lab.rule_checker import RuleChecker, RuleViolation
+from sagecove.lab.submission_bodies import sound_body
 from sagecove.protocol.decoding import MalformedMessage, decoder
 
 
@@ -51,8 +52,12 @@
         self.features = features
         # Recount each ledger after each batch; linear in jobs and machines, so not in benchmarks.
         self.checks_ledgers = checks_ledgers
+        # Whether controllers may contain exceptions; only for tests that cause some.
+        self.allows_contained_faults = False
         self.now = 1000.0
         self.random = Random(seed)
+        # Decides how users spell submissions; apart, so that it changes nothing else in a history.
+        self.spelling_random = Random(seed)
         self.timers: list[tuple[float, int, Callable[[], None]]] = []
         self.timer_order = itertools.count()
         self.owners: dict[str, Owner] = {}
@@ -160,6 +165,8 @@
         ):
             return
         effects = owner.handle(batch, self.now, self.now)
+        if owner.containment.faults and not self.allows_contained_faults:
+            raise next(iter(owner.containment.faults.values()))
         if self.checks_ledgers and (differences := ledger_differences(owner)):
             raise AssertionError(
                 f"{name}: the ledger differs from a recount: {'; '.join(differences[:5])}"
@@ -180,6 +187,22 @@
             else:
                 self.deliver_call(name, owner, effect)
 
+    def check_all_known(self) -> None:
+        """Check that the controllers know each machine of the cloud, and each task on one."""
+        known_tasks: set[str] = set()
+        known_machines: set[str] = set()
+        for owner in self.owners.values():
+            known_machines |= owner.machines.keys()
+            for machine in owner.machines.values():
+                known_tasks |= {f"{machine.name} {task}" for task in machine.tasks}
+        for name in self.cloud.machines:
+            if name not in known_machines:
+                raise RuleViolation(f"unknown machine {name}")
+        for name, worker in self.workers.items():
+            for task in worker.live_tasks():
+                if f"{name} {task}" not in known_tasks:
+                    raise RuleViolation(f"unknown task {task} on machine {name}")
+
     # -- users and workers ----------------------------------------------------------------------
 
     def start_user_request(self, node: str, method: str, path: str, body: Any = b"") -> None:
@@ -191,7 +214,13 @@
                 answered[0] = True
                 self.check_user_answer(path, body, status, raw, asked_at)
 
-        self.request_controller(node, method, path, body, answer)
+        self.request_controller(node, method, path, self._spelled(body), answer)
+
+    def _spelled(self, body: Any) -> Any:
+        """Return a known submission in a random spelling, and anything else as it is."""
+        if isinstance(body, dict) and self.specs.get(body.get("nameId", "")) is body:
+            return sound_body(self.spelling_random, body)
+        return body
 
     def check_user_answer(
         self, path: str, body: Any, status: int | None, raw: bytes, asked_at: int | None = None
@@ -206,7 +235,7 @@
         """Send a user's request and advance up to 6 s until it is answered; status 0: no answer."""
         answers: list[tuple[int, Any]] = []
         answer = lambda s, b: answers.append((s or 0, json.loads(b) if b else None))  # noqa: E731
-        self.request_controller(node, method, path, body, answer)
+        self.request_controller(node, method, path, self._spelled(body), answer)
         asked_at = self.now
         while not answers and self.now - asked_at < 6:
             self.run(0.02)
--- a/sagecove/protocol/decoding.py
+++ b/sagecove/protocol/decoding.py
@@ -7,6 +7,7 @@
 
 import re
 from collections.abc import Callable
+from functools import partial
 from typing import Any, TypeVar
 
 import msgspec
@@ -54,14 +55,20 @@
 
 
 def decode_message(body: bytes, message_type: type[T]) -> T:
-    """Decode a message of a type that is rarely received; raises `MalformedMessage`."""
-    return decoder(message_type)(body)
+    """Decode a message; raises `MalformedMessage`."""
+    try:
+        message: T = msgspec.json.decode(body, type=message_type)
+    except _DECODE_ERRORS as error:
+        decode: Callable[[bytes], T] = partial(msgspec.json.decode, type=message_type)
+        message = _decode_repaired(decode, body, error)
+    return message
 
 
 def convert_message(value: Any, message_type: type[T]) -> T:
     """Convert decoded JSON to a message type; raises `MalformedMessage`."""
     try:
-        return msgspec.convert(value, message_type)
+        message: T = msgspec.convert(value, message_type)
+        return message
     except _DECODE_ERRORS as error:
         raise MalformedMessage(error) from None
 
--- a/sagecove/protocol/peers.py
+++ b/sagecove/protocol/peers.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from sagecove.protocol.decoding import decoder
+
 
 class ShareRequest(msgspec.Struct, frozen=True, array_like=True):
     """A request to raise a shard's share of a team's limit to `target`.
@@ -114,6 +116,6 @@
     cancelled: list[str] = []
 
 
-decode_promise = msgspec.json.Decoder(Promise).decode
-decode_share_requests = msgspec.json.Decoder(ShareRequestList).decode
-decode_hint = msgspec.json.Decoder(Hint).decode
+decode_promise = decoder(Promise)
+decode_share_requests = decoder(ShareRequestList)
+decode_hint = decoder(Hint)
--- a/sagecove/protocol/workers.py
+++ b/sagecove/protocol/workers.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from sagecove.protocol.decoding import decoder
+
 LAUNCH, HALT, REAP = "launch", "halt", "reap"
 PULLING, WAITING, TASK_RUNNING, SAVING, EXITED = (
     "pulling",
@@ -33,6 +35,7 @@
         "why": "cause",
         "saved": "kept",
     },
+    gc=False,
 ):
     """The state of a task, as a worker reports it."""
 
@@ -56,6 +59,7 @@
         "notice_s": "warningS",
         "tasks": "hands",
     },
+    gc=False,
 ):
     """A report of a worker about its machine and tasks."""
 
@@ -136,5 +140,5 @@
     report_to: str | None = None
 
 
-decode_task_reports = msgspec.json.Decoder(list[TaskReport]).decode
-decode_report = msgspec.json.Decoder(Report).decode
+decode_task_reports = decoder(list[TaskReport])
+decode_report = decoder(Report)
--- a/sagecove/service.py
+++ b/sagecove/service.py
@@ -13,7 +13,14 @@
 import msgspec
 
 from sagecove.config import Settings, split_address
-from sagecove.coordination.effects import CallResult, IncomingRequest, OutgoingCall, Reply
+from sagecove.coordination.effects import (
+    CallResult,
+    Effect,
+    IncomingRequest,
+    OutgoingCall,
+    Reply,
+)
+from sagecove.coordination.interfaces import TICK_S
 from sagecove.coordination.owner import Owner
 from sagecove.features import ChosenFeatures, feature_factory
 from sagecove.transport.client import Client
@@ -82,16 +89,24 @@
         self.run_scheduled = False
         batch = list(self.queue)
         self.queue.clear()
-        for effect in self.owner.handle(batch, time.monotonic(), time.time()):
-            if isinstance(effect, Reply):
-                self._reply(effect)
+        wait_s = TICK_S
+        try:
+            for effect in self.owner.handle(batch, time.monotonic(), time.time()):
+                self._carry_out(effect)
+            wait_s = self.owner.seconds_until_due()
+        finally:
+            if self.timer is not None and self.timer.active():
+                self.timer.reset(wait_s)
             else:
-                self._call(effect)
-        wait_s = self.owner.seconds_until_due()
-        if self.timer is not None and self.timer.active():
-            self.timer.reset(wait_s)
-        else:
-            self.timer = self.reactor.callLater(wait_s, self._run)
+                self.timer = self.reactor.callLater(wait_s, self._run)
+
+    def _carry_out(self, effect: Effect) -> None:
+        """Carry out an effect; an exception does not stop the effects beside it."""
+        run = self.owner.containment.run
+        if isinstance(effect, Reply):
+            run("reply", self._reply, effect)
+        elif not run("call", self._call, effect):
+            self._enqueue(CallResult(effect.token, 0, b""))
 
     def _reply(self, reply: Reply) -> None:
         if self.debug_enabled:
--- a/sagecove/storage/records.py
+++ b/sagecove/storage/records.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from sagecove.protocol.cloud import MachineType
+from sagecove.protocol.decoding import MalformedMessage, convert_message
 from sagecove.protocol.users import Job
 from sagecove.storage import taskset
 
@@ -37,6 +38,12 @@
     # The sweep that the job is a point of; empty if it is none.
     sweep: str = ""
 
+    def require_readable_sets(self) -> None:
+        """Raise `MalformedMessage` if a set of tasks has a form that this build does not know."""
+        for text in (self.fin, *self.claims.values()):
+            if not taskset.is_readable(text):
+                raise MalformedMessage(f"unreadable set of tasks: {text[:40]}")
+
 
 def max_claimable_tasks(
     record: JobRecord, finished: int, claimed: int, shards: int, value_kb: float
@@ -152,7 +159,10 @@
     for prefix, record_type in chain(_RECORD_TYPES, extra_types):
         if key.startswith(prefix):
             try:
-                return msgspec.convert(value, record_type)
-            except msgspec.ValidationError:
+                record = convert_message(value, record_type)
+                if isinstance(record, JobRecord):
+                    record.require_readable_sets()
+            except MalformedMessage:
                 return None
+            return record
     return None
--- a/sagecove/storage/store.py
+++ b/sagecove/storage/store.py
@@ -10,9 +10,8 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-import msgspec
-
 from sagecove.protocol import state as wire
+from sagecove.protocol.decoding import MalformedMessage, decode_message
 from sagecove.storage.budget import TokenBucket
 
 log = logging.getLogger("sagecove.store")
@@ -45,9 +44,9 @@
 def decode_answer(body: bytes, answer_type: Any) -> Any:
     """Decode an answer; return None if it is invalid, which counts as no answer."""
     try:
-        return msgspec.json.decode(body, type=answer_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        log.info("unreadable answer kind=%s", answer_type.__name__)
+        return decode_message(body, answer_type)
+    except MalformedMessage as error:
+        log.info("unreadable answer kind=%s why=%s", answer_type.__name__, error)
         return None
 
 
--- a/sagecove/storage/taskset.py
+++ b/sagecove/storage/taskset.py
@@ -6,8 +6,14 @@
 """
 
 import base64
+import re
 from collections.abc import Iterator
 
+# Runs of numbers, or "b" and a base-85 bitmap.
+_TEXT_FORM = re.compile(
+    r"(?:\d{1,6}(?:-\d{1,6})?(?:,|\Z))*+\Z|b[0-9A-Za-z!#$%&()*+;<=>?@^_`{|}~-]*+\Z", re.ASCII
+)
+
 
 def full(count: int) -> int:
     """Return the set of all tasks of a job with `count` tasks."""
@@ -77,6 +83,11 @@
     return bits
 
 
+def is_readable(text: str) -> bool:
+    """Return whether a text has a form that `decode` knows."""
+    return _TEXT_FORM.match(text) is not None
+
+
 def max_text_bytes(tasks: int, member_count: int, *, sets: int = 1, runs: bool = False) -> int:
     """Return an upper bound of the text form's bytes for `member_count` of a job's `tasks`.
 
--- a/sagecove/sweeps/admission.py
+++ b/sagecove/sweeps/admission.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from sagecove.protocol.decoding import MalformedMessage, decode_message
 from sagecove.storage import taskset
 from sagecove.sweeps.grammar import GrammarError, parse_space
 from sagecove.sweeps.parameter_space import (
@@ -70,9 +71,9 @@
 def decode_request(body: bytes, kind: Any) -> Any:
     """Decodes a request's body; raises `RequestRefused` with 400 if it is invalid."""
     try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        raise RequestRefused(400, str(error)[:300]) from None
+        return decode_message(body, kind)
+    except MalformedMessage as error:
+        raise RequestRefused(400, str(error)) from None
 
 
 def decode_sweep_request(body: bytes) -> SweepRequest:
--- a/sagecove/sweeps/routes.py
+++ b/sagecove/sweeps/routes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import re
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
@@ -17,6 +18,7 @@
 from sagecove.coordination.effects import IncomingRequest
 from sagecove.coordination.refusals import RefusedSubmission, RequestKind
 from sagecove.protocol import state as state_protocol
+from sagecove.protocol.decoding import MalformedMessage, convert_message
 from sagecove.protocol.users import (
     CANCELLED,
     DONE,
@@ -59,6 +61,9 @@
 HAS_RECORD = "made"
 
 
+VERSION_PATTERN = re.compile(r"[0-9]{1,9}\Z")
+
+
 class BoundedCache:
     """A bounded cache of immutable records; evicts the oldest entry first."""
 
@@ -214,8 +219,8 @@
                 return
             for pair in page.items:
                 try:
-                    found.append(msgspec.convert(pair.value, sweep_records.Template))
-                except msgspec.ValidationError:
+                    found.append(convert_message(pair.value, sweep_records.Template))
+                except MalformedMessage:
                     log.info("unreadable template key=%s", pair.key)
             if page.more and page.items:
                 self.owner.store.read_page(self.owner.now, prefix, page.items[-1].key, on_page)
@@ -241,8 +246,8 @@
         self, incoming: IncomingRequest, name: str, query_args: dict[str, str]
     ) -> None:
         version = query_args.get("version")
-        if version is not None and not version.isdecimal():
-            raise RequestRefused(400, "`version` must be a whole number")
+        if version is not None and not VERSION_PATTERN.match(version):
+            raise RequestRefused(400, "`version` must be a whole number of at most 9 digits")
         self._find_template(
             name,
             int(version) if version else None,
@@ -527,8 +532,8 @@
             pair = decode_answer(body, state_protocol.Pair) if status == 200 else None
             if pair is not None:
                 try:
-                    ended_sweep = msgspec.convert(pair.value, sweep_records.EndedSweepRecord)
-                except msgspec.ValidationError:
+                    ended_sweep = convert_message(pair.value, sweep_records.EndedSweepRecord)
+                except MalformedMessage:
                     status = None
                 else:
                     # Users may learn of a cancellation by this read, so peers have to read
@@ -633,8 +638,8 @@
                 record = sweep_records.BlockRecord()
             elif status == 200 and (pair := decode_answer(body, state_protocol.Pair)) is not None:
                 try:
-                    record = msgspec.convert(pair.value, sweep_records.BlockRecord)
-                except msgspec.ValidationError:
+                    record = convert_message(pair.value, sweep_records.BlockRecord)
+                except MalformedMessage:
                     log.info("unreadable block key=%s", key)
                 else:
                     self.owner.cancellations.raise_floor(pair.version)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -61,12 +61,9 @@
         assert status == 422 and body["error"]
     assert world.user_request("n0", "GET", "/api/jobs/run-000009")[0] == 404
     assert world.user_request("n0", "GET", "/api/nothing")[0] == 404
-    assert (
-        world.user_request("n0", "POST", "/api/jobs", job_submission(1, breeds=["x" * 150] * 100))[
-            0
-        ]
-        == 400
-    )
+    long_list = job_submission(1, breeds=["x" * 150] * 100)
+    status, body = world.user_request("n0", "POST", "/api/jobs", long_list)
+    assert status == 422 and "machine type" in body["error"]
     assert world.user_request("n0", "PUT", "/api/jobs")[0] == 405
     assert world.user_request("n0", "POST", "/hello", b'{"mount":1}')[0] == 400
 
