--- a/sagecove/lab/fakes.py
+++ b/sagecove/lab/fakes.py
@@ -20,6 +20,10 @@
 AnswerCallback = Callable[[int | None, bytes], None]
 
 
+def ignore_answer(status: int | None, body: bytes) -> None:
+    """Take an answer for which nobody waits."""
+
+
 class FakeEnvironment(Protocol):
     """Environment that the fakes require. Times are seconds of the environment's clock."""
 
@@ -263,6 +267,11 @@
         self.list_lag_s = 4.0
         self.unavailable = False
         self.deleted_names: list[str] = []
+        # Called with path and body of each rental and deletion. Returns the seconds after which the
+        # request is carried out, without an answer; None: it is carried out and answered at once.
+        self.late_by_s: Callable[[str, Any], float | None] | None = None
+        # Returns the seconds after which a copy of a deletion arrives; None: there is no copy.
+        self.deletion_copy_after_s: Callable[[], float | None] | None = None
 
     def start_machine(self, sku: str, zone: str, spot: bool, boot_s: float = 0.0) -> str:
         """Start a machine, which boots after a delay, and return its name."""
@@ -286,7 +295,21 @@
         return name
 
     def handle_request(self, method: str, path: str, body: Any, answer: AnswerCallback) -> None:
-        """Execute and answer a controller's request."""
+        """Execute and answer a controller's request, or execute it late."""
+        changes_machines = method == "POST"
+        late_s = self.late_by_s(path, body) if changes_machines and self.late_by_s else None
+        if late_s is not None:
+            self.environment.call_later(late_s, lambda: self.execute(path, body, ignore_answer))
+            answer(None, b"")
+            return
+        self.execute(path, body, answer)
+        if path == "/machines/delete" and self.deletion_copy_after_s is not None:
+            copy_s = self.deletion_copy_after_s()
+            if copy_s is not None:
+                self.environment.call_later(copy_s, lambda: self.execute(path, body, ignore_answer))
+
+    def execute(self, path: str, body: Any, answer: AnswerCallback) -> None:
+        """Execute and answer a request."""
         if self.unavailable:
             answer(503, b'{"error":"trouble"}')
         elif path == "/flavors":
--- a/sagecove/lab/network.py
+++ b/sagecove/lab/network.py
@@ -16,7 +16,13 @@
 
 from sagecove.coordination.effects import CallResult, IncomingRequest, OutgoingCall
 from sagecove.coordination.owner import Owner
-from sagecove.lab.fakes import AnswerCallback, FakeCloud, FakeStateService, FakeWorker
+from sagecove.lab.fakes import (
+    AnswerCallback,
+    FakeCloud,
+    FakeStateService,
+    FakeWorker,
+    ignore_answer,
+)
 from sagecove.lab.message_copies import CopiedRequest, MessageCopies, RequestKind
 
 # Time a message takes to a worker or a peer without further delay.
@@ -49,10 +55,6 @@
         return any(order["verb"] == "launch" and order["hand"] == task for order in orders)
 
 
-def _ignore_answer(status: int | None, raw: bytes) -> None:
-    """Take the answer to a copy, for which nobody waits."""
-
-
 class Network:
     """Delivers messages subject to faults. Mixed into `World`, which has the endpoints."""
 
@@ -175,7 +177,7 @@
             self.message_copies.schedule(
                 CopiedRequest(RequestKind.STATE_WRITE, source, call.target, raw),
                 lambda: self.state.handle_request(
-                    source, call.method, call.path, raw, _ignore_answer
+                    source, call.method, call.path, raw, ignore_answer
                 ),
             )
 
@@ -244,7 +246,7 @@
             deliver_to_peer(answer)
             self.message_copies.schedule(
                 CopiedRequest(RequestKind.PEER_REQUEST, source, target, raw),
-                lambda: deliver_to_peer(_ignore_answer),
+                lambda: deliver_to_peer(ignore_answer),
             )
 
         self._after_own_delay(MessageKind.PEER_REQUEST, source, target, raw, deliver)
@@ -261,7 +263,7 @@
             self.deliver_to_controller(node, method, path, body, answer)
             self.message_copies.schedule(
                 CopiedRequest(RequestKind.USER_REQUEST, "user", node, body),
-                lambda: self.deliver_to_controller(node, method, path, body, _ignore_answer),
+                lambda: self.deliver_to_controller(node, method, path, body, ignore_answer),
             )
 
     def _send_report(self, node: str, body: dict[str, Any], answer: AnswerCallback) -> None:
