Test: a job that a lowered value limit can't hold is put off, never accepted and lost

The lab's state service can refuse values longer than the settings say. Kept fields of 3 KB get 503 at every controller and stay unknown while the limit is 2 KiB, other jobs are accepted and done meanwhile, and the job is accepted once the limit is back.

--- a/sagecove/lab/fakes.py
+++ b/sagecove/lab/fakes.py
@@ -84,6 +84,8 @@
         self.answer_delay_s = 0.0
         # Delay in seconds of an answer, by client and path; None: `answer_delay_s` for all.
         self.answer_delay_of: Callable[[str, str], float] | None = None
+        # If set, transactions with a longer value get status 400, although the settings allow it.
+        self.lowered_value_bytes: int | None = None
         # If set, all requests but lease renewals get status 429.
         self.throttles_all = False
         # Called with each transaction; returns its fault: None (executed and answered), `lost` (not
@@ -154,10 +156,13 @@
         if failed:
             return 409, self.encode_json({"failed": failed, "ledger": self.ledger})
         assert len(body["then"]) <= 12
+        longest_bytes = max((len(json.dumps(c.get("v"))) for c in body["then"]), default=0)
+        if self.lowered_value_bytes is not None and longest_bytes > self.lowered_value_bytes:
+            return 400, self.encode_json({"error": "value too long"})
+        assert longest_bytes <= 16 * 1024
         self.ledger += 1
         for change in body["then"]:
             if "put" in change:
-                assert len(json.dumps(change["v"])) <= 16 * 1024
                 self.keys[change["put"]] = (change["v"], self.ledger, change.get("tenure"))
                 self.change_log.append((self.ledger, change["put"], change["v"]))
             elif self.keys.pop(change["drop"], None):
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -142,6 +142,24 @@
     assert not [key for key in world.state.keys if key.startswith("s/job/")]
 
 
+def test_job_that_a_lowered_value_limit_cannot_hold_is_never_accepted_and_lost() -> None:
+    world = world_with_machines(4)
+    world.state.lowered_value_bytes = 2048
+    long_job = submission_with({"breeds": ["small", *(f"unknown-{n}" for n in range(300))]}, 2)
+    world.add_spec(job_submission(2))
+    small_tasks = {"hands": 40, "vcpus": 0.1, "memoryGb": 0.1}
+    world.add_spec(job_submission(1, **small_tasks))
+    short_job = submission_with({**small_tasks, **INCIDENT_FIELDS})
+    assert world.user_request("n0", "POST", "/api/jobs", short_job)[0] == 201
+    for node in world.owners:
+        assert world.user_request(node, "POST", "/api/jobs", long_job)[0] == 503
+        assert job_state(world, node, "run-000002") == "404"
+    world.run_until(lambda: job_state(world, "n1", "run-000001") == "done", 60)
+    world.state.lowered_value_bytes = None
+    assert world.user_request("n1", "POST", "/api/jobs", long_job)[0] == 201
+    world.run_until(lambda: job_state(world, "n2", "run-000002") == "done", 60)
+
+
 @pytest.mark.parametrize("value_kb", [2.0, 8.0, 16.0])
 def test_record_of_the_longest_kept_job_fits_a_value(value_kb: float) -> None:
     fields = {"herd": "\x01" * 200, "bundle": "\x01" * 200, "nameId": "run-" + "a" * 100}
