--- a/sagecove/sweeps/routes.py
+++ b/sagecove/sweeps/routes.py
@@ -1,4 +1,4 @@
-"""Serves the HTTP requests about templates, sweeps and points.
+"""Serves the HTTP requests about sweeps and points, and routes those about templates.
 
 Answers about a point rest on the same reads as answers about any job: `done` and `aborted` are
 final and may be answered from memory, every other state is read again.
@@ -7,14 +7,10 @@
 from __future__ import annotations
 
 import logging
-import re
-from collections import OrderedDict
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs
 
-import msgspec
-
 from sagecove.coordination.effects import IncomingRequest
 from sagecove.coordination.refusals import RefusedSubmission, RequestKind
 from sagecove.protocol import state as state_protocol
@@ -22,7 +18,6 @@
 from sagecove.protocol.users import (
     CANCELLED,
     DONE,
-    JOB_ID_PATTERN,
     PENDING,
     RUNNING,
     JobStatus,
@@ -33,20 +28,19 @@
 from sagecove.storage.store import Outcome, Result, decode_answer
 from sagecove.sweeps import records as sweep_records
 from sagecove.sweeps.admission import (
-    JobRequest,
     RequestRefused,
     RetryRequest,
     SweepRequest,
     build_sweep_record,
     check_sweep_id,
-    check_template,
     decode_request,
     decode_sweep_request,
     inline_template,
     requested_space,
 )
+from sagecove.sweeps.cache import BoundedCache
 from sagecove.sweeps.model import Sweep, decode_block
-from sagecove.sweeps.template import CompiledTemplate, TemplateError
+from sagecove.sweeps.template_routes import TemplateRoutes
 
 if TYPE_CHECKING:
     from sagecove.sweeps.manager import SweepManager
@@ -54,46 +48,25 @@
 log = logging.getLogger("sagecove.sweeps")
 
 # How many immutable records of each kind are cached after they were read.
-CACHED_TEMPLATE_COUNT, CACHED_SWEEP_COUNT, CACHED_BLOCK_COUNT = 50, 20, 100
+CACHED_SWEEP_COUNT, CACHED_BLOCK_COUNT = 20, 100
 PREVIEW_POINT_COUNT = 10
 MAX_LISTED_POINT_COUNT = 500
 # State of a point that has a job record of its own and isn't known to have ended.
 HAS_RECORD = "made"
 
 
-VERSION_PATTERN = re.compile(r"[0-9]{1,9}\Z")
-
-
-class BoundedCache:
-    """A bounded cache of immutable records; evicts the oldest entry first."""
-
-    def __init__(self, max_count: int) -> None:
-        self.max_count = max_count
-        self._items: OrderedDict[str, Any] = OrderedDict()
-
-    def get(self, key: str) -> Any:
-        """Return the cached value, or None."""
-        return self._items.get(key)
-
-    def put(self, key: str, value: Any) -> None:
-        """Cache a value, and evict the oldest entry if the cache is full."""
-        self._items[key] = value
-        if len(self._items) > self.max_count:
-            self._items.popitem(last=False)
-
-
 class Routes:
-    """Handles the HTTP requests about templates, sweeps and points."""
+    """Handles the HTTP requests about sweeps and points."""
 
     def __init__(self, feature: SweepManager) -> None:
         self.feature = feature
         self.owner = feature.owner
         self.users = feature.owner.users
-        self.templates = BoundedCache(CACHED_TEMPLATE_COUNT)
         self.ended_sweeps = BoundedCache(CACHED_SWEEP_COUNT)
         self.ended_blocks = BoundedCache(CACHED_BLOCK_COUNT)
         # In bytes: half the size limit of a value; the other half is left to data stored with it.
         self.max_value_bytes = self.owner.settings.params.state.value_kb * 512
+        self.template_routes = TemplateRoutes(self.owner, self._refuse, self.max_value_bytes)
 
     # -- routing --------------------------------------------------------------------------------
 
@@ -119,7 +92,10 @@
     ) -> Callable[[IncomingRequest], None] | None:
         # Fixed paths are matched before those that hold a sweep's or job's id or a template's name.
         known: dict[tuple[str, ...], dict[str, Callable[[IncomingRequest], None]]] = {
-            ("api", "templates"): {"GET": self._list_templates, "POST": self._put_template},
+            ("api", "templates"): {
+                "GET": self.template_routes.list_templates,
+                "POST": self.template_routes.put_template,
+            },
             ("api", "sweeps"): {"GET": self._list_sweeps, "POST": self._submit},
             ("api", "sweeps", "preview"): {"POST": self._preview},
         }
@@ -128,10 +104,14 @@
         if handlers is None:
             named: dict[tuple[str, ...], dict[str, Callable[[IncomingRequest], None]]] = {
                 ("api", "templates", "*"): {
-                    "GET": lambda incoming: self._show_template(incoming, name, query_args)
+                    "GET": lambda incoming: self.template_routes.show_template(
+                        incoming, name, query_args
+                    )
                 },
                 ("api", "templates", "*", "jobs"): {
-                    "POST": lambda incoming: self._submit_from_template(incoming, name)
+                    "POST": lambda incoming: self.template_routes.submit_from_template(
+                        incoming, name
+                    )
                 },
                 ("api", "sweeps", "*"): {
                     "GET": lambda incoming: self._sweep_status(incoming, name)
@@ -166,153 +146,6 @@
         log.info("refused status=%d why=%s", refused.status, refused.reason)
         self.users.reply(exchange, refused.status, Refusal(refused.reason))
 
-    # -- templates ------------------------------------------------------------------------------
-
-    def _find_template(
-        self,
-        name: str,
-        version: int | None,
-        exchange: Any,
-        on_found: Callable[[sweep_records.Template], None],
-    ) -> None:
-        """Pass a template's version, by default the newest, to `on_found`.
-
-        Answers the request with an error if there is none or it can't be read.
-        """
-        if version is not None:
-            cached = self.templates.get(sweep_records.template_key(name, version))
-            if cached is not None:
-                self._refuse_on_error(exchange, lambda: on_found(cached))
-                return
-
-        def on_templates(found: list[sweep_records.Template] | None) -> None:
-            if found is None:
-                self.users.refuse_state_unavailable(exchange)
-                return
-            wanted = [t for t in found if version in (None, t.version)]
-            if not wanted:
-                what = f"version {version} of template {name}" if found else f"template {name}"
-                self._refuse(exchange, RequestRefused(404, f"there is no {what}"))
-                return
-            template = wanted[-1]
-            self.templates.put(sweep_records.template_key(name, template.version), template)
-            self._refuse_on_error(exchange, lambda: on_found(template))
-
-        self._read_templates(f"{sweep_records.TEMPLATE_PREFIX}{name}/", on_templates)
-
-    def _refuse_on_error(self, exchange: Any, call: Callable[[], None]) -> None:
-        try:
-            call()
-        except RequestRefused as refused:
-            self._refuse(exchange, refused)
-
-    def _read_templates(
-        self, prefix: str, on_read: Callable[[list[sweep_records.Template] | None], None]
-    ) -> None:
-        """Pass all templates below a prefix, in key order, to `on_read`; None if the read fails."""
-        found: list[sweep_records.Template] = []
-
-        def on_page(status: int | None, body: bytes) -> None:
-            page = decode_answer(body, state_protocol.Page) if status == 200 else None
-            if page is None:
-                on_read(None)
-                return
-            for pair in page.items:
-                try:
-                    found.append(convert_message(pair.value, sweep_records.Template))
-                except MalformedMessage:
-                    log.info("unreadable template key=%s", pair.key)
-            if page.more and page.items:
-                self.owner.store.read_page(self.owner.now, prefix, page.items[-1].key, on_page)
-            else:
-                on_read(found)
-
-        self.owner.store.read_page(self.owner.now, prefix, "", on_page)
-
-    def _list_templates(self, incoming: IncomingRequest) -> None:
-        def on_templates(found: list[sweep_records.Template] | None) -> None:
-            if found is None:
-                self.users.refuse_state_unavailable(incoming.exchange)
-                return
-            newest = {t.name: t for t in found}
-            answer = [
-                {"name": t.name, "version": t.version, "about": t.about} for t in newest.values()
-            ]
-            self.users.reply(incoming.exchange, 200, {"templates": answer})
-
-        self._read_templates(sweep_records.TEMPLATE_PREFIX, on_templates)
-
-    def _show_template(
-        self, incoming: IncomingRequest, name: str, query_args: dict[str, str]
-    ) -> None:
-        version = query_args.get("version")
-        if version is not None and not VERSION_PATTERN.match(version):
-            raise RequestRefused(400, "`version` must be a whole number of at most 9 digits")
-        self._find_template(
-            name,
-            int(version) if version else None,
-            incoming.exchange,
-            lambda template: self.users.reply(incoming.exchange, 200, template),
-        )
-
-    def _put_template(self, incoming: IncomingRequest) -> None:
-        """Store a new version of a template; answer with the newest one if nothing has changed."""
-        template: sweep_records.Template = decode_request(incoming.body, sweep_records.Template)
-        template.version = 0
-        check_template(template, self.max_value_bytes)
-
-        def on_templates(found: list[sweep_records.Template] | None) -> None:
-            if found is None:
-                self.users.refuse_state_unavailable(incoming.exchange)
-                return
-            newest = found[-1].version if found else 0
-            if found and msgspec.structs.replace(found[-1], version=0) == template:
-                answer = {"name": template.name, "version": newest}
-                self.users.reply(incoming.exchange, 200, answer)
-                return
-            numbered = msgspec.structs.replace(template, version=newest + 1)
-            key = sweep_records.template_key(template.name, newest + 1)
-
-            def on_commit(result: Result) -> None:
-                if result.outcome is Outcome.DONE:
-                    log.info("template put name=%s version=%d", template.name, newest + 1)
-                    answer = {"name": template.name, "version": newest + 1}
-                    self.users.reply(incoming.exchange, 201, answer)
-                elif result.outcome is Outcome.CONFLICT:
-                    self.users.refuse_for_now(
-                        incoming.exchange, "another version was stored meanwhile"
-                    )
-                else:
-                    self.users.refuse_state_unavailable(incoming.exchange)
-
-            self.owner.commit(
-                [(key, 0)], [state_protocol.Put(key, numbered)], on_commit, urgent=True
-            )
-
-        self._read_templates(f"{sweep_records.TEMPLATE_PREFIX}{template.name}/", on_templates)
-
-    def _submit_from_template(self, incoming: IncomingRequest, name: str) -> None:
-        """Submit a single job rendered from a template."""
-        request: JobRequest = decode_request(incoming.body, JobRequest)
-        if not JOB_ID_PATTERN.match(request.nameId):
-            raise RequestRefused(400, "`nameId` is not a valid job id")
-
-        def on_template(template: sweep_records.Template) -> None:
-            compiled = CompiledTemplate(template)
-            try:
-                compiled.check_values(request.values)
-                job = compiled.render(request.nameId, request.values)
-            except TemplateError as error:
-                raise RequestRefused(422, str(error)) from None
-            body = msgspec.json.encode(job)
-            if len(body) > self.max_value_bytes:
-                # Workers get the description from the record, so it can't be shortened.
-                limit = f"{self.max_value_bytes:.0f} bytes"
-                raise RequestRefused(413, f"the job's description is longer than {limit}")
-            self.users.submit(body, incoming.exchange)
-
-        self._find_template(name, request.version, incoming.exchange, on_template)
-
     # -- submission -----------------------------------------------------------------------------
 
     def _submit(self, incoming: IncomingRequest) -> None:
@@ -327,7 +160,7 @@
         if request.template is None:
             self._start_sweep(request, inline_template(request, space), space, incoming.exchange)
             return
-        self._find_template(
+        self.template_routes.find_template(
             request.template,
             request.version,
             incoming.exchange,
@@ -433,7 +266,9 @@
         if request.template is None:
             on_template(inline_template(request, space))
         else:
-            self._find_template(request.template, request.version, incoming.exchange, on_template)
+            self.template_routes.find_template(
+                request.template, request.version, incoming.exchange, on_template
+            )
 
     # -- sweeps ---------------------------------------------------------------------------------
 
@@ -928,7 +763,7 @@
             retry_request = SweepRequest(
                 request.id, "again", "again", None, None, None, record.values
             )
-            self._refuse_on_error(
+            self.template_routes.refuse_on_error(
                 incoming.exchange,
                 lambda: self._start_sweep(
                     retry_request, record.template, record.space, incoming.exchange, retry_points
