A machine's name is checked only in reports of machines that are not known

Decoding a report ran a regular expression over a name that equals a known one in nearly all reports. An unknown name is checked as before, and gets 400. The interface for transactions stands once.

--- a/sagecove/coordination/interfaces.py
+++ b/sagecove/coordination/interfaces.py
@@ -113,16 +113,8 @@
     held_shards: dict[str, Shard]
 
 
-class OwnerContext(BaseContext, Protocol):
-    """The owner's state as its parts read it, and the way to write to the state service."""
-
-    random: Random
-    # Shards held here; all machines by shard and name; machine types by name.
-    held_shards: dict[str, Shard]
-    machines_by_shard: dict[str, dict[str, Machine]]
-    machine_types: dict[str, MachineType]
-    # Something has changed that the next scheduling pass has to consider.
-    pass_needed: bool
+class TransactionSender(Protocol):
+    """Sends transactions to the state service."""
 
     def commit(
         self,
@@ -134,6 +126,18 @@
     ) -> None:
         """Send a transaction; `done` is called with its outcome."""
 
+
+class OwnerContext(BaseContext, TransactionSender, Protocol):
+    """The owner's state as its parts read it, and the way to write to the state service."""
+
+    random: Random
+    # Shards held here; all machines by shard and name; machine types by name.
+    held_shards: dict[str, Shard]
+    machines_by_shard: dict[str, dict[str, Machine]]
+    machine_types: dict[str, MachineType]
+    # Something has changed that the next scheduling pass has to consider.
+    pass_needed: bool
+
     def count(self, event: str) -> None:
         """Increment the metric of an event."""
 
--- a/sagecove/coordination/submissions.py
+++ b/sagecove/coordination/submissions.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Any, Protocol
 
 from sagecove.config import Team
-from sagecove.coordination.interfaces import BaseContext, Feature, SubmissionGuard
+from sagecove.coordination.interfaces import (
+    BaseContext,
+    Feature,
+    SubmissionGuard,
+    TransactionSender,
+)
 from sagecove.coordination.model import JobRun
 from sagecove.coordination.placement import type_allowed
 from sagecove.coordination.refusals import RefusedSubmission, RequestKind
@@ -51,7 +56,7 @@
         """Update the machine types that the service avoids."""
 
 
-class SubmissionContext(BaseContext, Protocol):
+class SubmissionContext(BaseContext, TransactionSender, Protocol):
     """Interface that submissions require of the owner."""
 
     mirror: Mirror
@@ -74,16 +79,6 @@
     def count(self, event: str) -> None:
         """Increment the metric of an event."""
 
-    def commit(
-        self,
-        conditions: list[tuple[str, int]],
-        changes: list[wire.Put | wire.Delete],
-        done: Callable[[Result], None],
-        *,
-        urgent: bool = False,
-    ) -> None:
-        """Send a transaction; `done` is called with its outcome."""
-
 
 class SubmissionAnswers(Protocol):
     """Answers the users that submit."""
--- a/sagecove/coordination/workers.py
+++ b/sagecove/coordination/workers.py
@@ -85,6 +85,8 @@
         try:
             report = worker_protocol.decode_report(body)
             machine = owner.machines.get(report.machine)
+            if machine is None:
+                report.require_machine_name()
             if (
                 machine is None
                 or not machine.quiescent
--- a/sagecove/protocol/workers.py
+++ b/sagecove/protocol/workers.py
@@ -1,10 +1,11 @@
 """Messages between workers and controllers."""
 
+import re
 from typing import Annotated
 
 import msgspec
 
-from sagecove.protocol.decoding import decoder
+from sagecove.protocol.decoding import MalformedMessage, decoder
 
 LAUNCH, HALT, REAP = "launch", "halt", "reap"
 PULLING, WAITING, TASK_RUNNING, SAVING, EXITED = (
@@ -23,6 +24,9 @@
     "unknown",
 )
 
+# Checked only for machines that are not known: nearly all reports are of known ones.
+MACHINE_NAME_PATTERN = re.compile(r"[A-Za-z0-9_.-]{1,120}\Z")
+
 Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
@@ -63,7 +67,7 @@
 ):
     """A report of a worker about its machine and tasks."""
 
-    machine: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_.-]{1,120}\Z")]
+    machine: str
     addr: Annotated[str, msgspec.Meta(max_length=100)]
     type: str
     zone: str
@@ -75,6 +79,11 @@
     tasks: msgspec.Raw = msgspec.Raw(b"[]")
     notice_s: float | None = None
 
+    def require_machine_name(self) -> None:
+        """Raise `MalformedMessage` unless the name can be one of a machine and of its record."""
+        if MACHINE_NAME_PATTERN.match(self.machine) is None:
+            raise MalformedMessage("Expected a machine's name - at `$.mount`")
+
 
 class WorkerCommand(
     msgspec.Struct,
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -191,6 +191,16 @@
     assert not owner.containment.faults
 
 
+@pytest.mark.parametrize("name", ["", "vm 1", "vm/1", "vm-1\n", "größe", "v" * 121, 7, None])
+def test_reports_of_machines_without_a_valid_name_are_malformed(name: Any) -> None:
+    # The name becomes a part of a key of the state service.
+    owner = world_with_machines(1).owners["n0"]
+    body = json.dumps({**REPORT, "mount": name}).encode()
+    for path, from_peer in (("/hello", False), ("/relay", True)):
+        request = IncomingRequest("POST", path, body, "exchange", from_peer)
+        assert answers(owner, [request])["exchange"] == 400
+
+
 def break_status_requests(world: World, job_id: str) -> None:
     """Let every controller raise while it handles a status request for a job."""
     world.allows_contained_faults = True
