A submission whose handling raises is decided when it is repeated

Seen by reading the containment's paths once more: the exchange was put among those that wait for the record's write before the decisions that lead to it. Had one of them raised, each repetition would have waited for a write that was never sent. The new test gets no answer (status 0) before this change, and 201 now.

--- a/sagecove/coordination/submissions.py
+++ b/sagecove/coordination/submissions.py
@@ -207,7 +207,6 @@
     def _write(self, job: api.Job, exchange: Any, guards: Sequence[SubmissionGuard]) -> None:
         """Write a job's record, with a claim if this controller has room for the job."""
         context = self.context
-        self.open_submissions[job.id] = [exchange]
         record = JobRecord(job, context.wall())
         own_conditions = [(JOB_PREFIX + job.id, 0), (FINAL_STATE_PREFIX + job.id, 0)]
         additional: list[wire.Put | wire.Delete] = []
@@ -240,6 +239,7 @@
             self._written(job, result)
 
         context.commit(conditions, changes, done, urgent=True)
+        self.open_submissions[job.id] = [exchange]
 
     def _written(self, job: api.Job, result: Result) -> None:
         """Answer the users that wait for a job's record."""
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -235,6 +235,17 @@
     assert "run-000001" in owner.jobs
 
 
+def test_submission_that_raises_is_decided_when_it_is_repeated() -> None:
+    world = world_with_machines(1)
+    world.allows_contained_faults = True
+    owner = world.owners["n0"]
+    claim = owner.users.claim_at_submission
+    owner.users.claim_at_submission = lambda job: 1 // 0  # type: ignore
+    assert world.submit("n0", job_submission(1))[0] == 500
+    owner.users.claim_at_submission = claim  # type: ignore[method-assign]
+    assert world.submit("n0", job_submission(1))[0] == 201
+
+
 def test_answer_that_raises_does_not_lose_other_answers() -> None:
     world = world_with_machines(1)
     world.allows_contained_faults = True
