Late cloud: answers come again before the play waits for its jobs

Trace: in that history every rental and deletion goes without an answer, and it went on so while the play waited for the end of all jobs. The only open rental was carried out at once, its machine was used, judged sick and deleted, and its repetition got no answer either, so no new one was made.

--- a/tests/test_late_cloud.py
+++ b/tests/test_late_cloud.py
@@ -52,10 +52,13 @@
     def choose_steps(self) -> list[Callable[[], None]]:
         return [*super().choose_steps(), self.return_machines]
 
-    def play(self) -> None:
-        super().play()
+    def _wait_until_jobs_end(self) -> None:
         self.world.cloud.late_by_s = None
         self.world.cloud.deletion_copy_after_s = None
+        super()._wait_until_jobs_end()
+
+    def play(self) -> None:
+        super().play()
         self.world.run(LATE_S[1] + KNOWN_AFTER_S)
         self.world.check_all_known()
 
