--- a/tests/test_held_messages.py
+++ b/tests/test_held_messages.py
@@ -42,6 +42,7 @@
 
     def __init__(self, seed: int, large_gangs: bool = False) -> None:
         self.random = Random(seed)
+        self.faults_s = FAULTS_S
         self.gang_task_cpus = 3.0 if large_gangs else 2.0
         self.world = World(node_count=self.random.choice([1, 3, 3]), seed=seed)
         self.world.dead_nodes_refuse = True
@@ -158,7 +159,7 @@
         """Play the faults, mend them, and wait until each accepted job has ended."""
         steps = self.choose_steps()
         started_at = self.world.now
-        while self.world.now - started_at < FAULTS_S:
+        while self.world.now - started_at < self.faults_s:
             self.random.choice(steps)()
             self.world.run(self.random.choice([0.1, 0.2, 0.4, 1.0]))
         self.world.message_delay_s = None
--- a/tests/test_late_cloud.py
+++ b/tests/test_late_cloud.py
@@ -19,6 +19,7 @@
 
 LATE_S = (0.2, 40.0)
 KNOWN_AFTER_S = 75.0
+FAULTS_S = 180.0
 MACHINE_COUNT = 8
 
 
@@ -27,6 +28,8 @@
 
     def __init__(self, seed: int, other_fault: OtherFault) -> None:
         super().__init__(seed, CopiedRequests.COMMANDS, other_fault)
+        # Machines are returned when they are idle and 55 s old.
+        self.faults_s = FAULTS_S
         self.late_share = self.random.choice((0.2, 0.5, 1.0))
         self.late_count = self.deletion_copy_count = 0
         cloud = self.world.cloud
