Log the revision on which users' answers rest

New: the revision of an accepted submission, how far the mirror had read and whether it shows the job alive, how many requests had joined; a line when a request joins an open submission; at debug, the revision behind each answer that is not final.

--- a/sagecove/coordination/submissions.py
+++ b/sagecove/coordination/submissions.py
@@ -143,6 +143,7 @@
             return
         if job.id in self.open_submissions:
             self.open_submissions[job.id].append(exchange)
+            log.info("joined an open submission job=%s mirror=%d", job.id, context.mirror.applied)
             return
         if len(context.store.urgent) > MAX_URGENT_COUNT:
             answers.refuse_for_now(exchange, "too many requests at once", 2.0)
@@ -243,12 +244,13 @@
 
     def _written(self, job: api.Job, result: Result) -> None:
         """Answer the users that wait for a job's record."""
-        answers = self.answers
+        context, answers = self.context, self.answers
         waiters = self.open_submissions.pop(job.id, [])
         if result.outcome is Outcome.DONE:
             log.info(
-                "accepted job=%s team=%s class=%s tasks=%d",
-                *(job.id, job.team, job.klass, job.tasks),
+                "accepted job=%s team=%s class=%s tasks=%d revision=%d mirror=%d live=%s joined=%d",
+                *(job.id, job.team, job.klass, job.tasks, result.revision),
+                *(context.mirror.applied, job.id in context.jobs, len(waiters) - 1),
             )
             for number, waiter in enumerate(waiters):
                 status = 200 if number else 201
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -91,6 +91,10 @@
         running = job.running_count
         running += owner.peers.running_elsewhere(job.id)
         state = api.RUNNING if running else api.PENDING
+        log.debug(
+            "answered job=%s kind=%s state=%s basis=read revision=%d",
+            *(job.id, kind, state, owner.mirror.applied),
+        )
         if kind == "status":
             self.reply(exchange, 200, api.JobStatus(job.id, state, done, running))
         else:
