A joined submission is answered after a read of its own

Cause: while the transaction of a job's first submission had no answer, submissions of the same job joined it, and all were told pending from its outcome. A joined request may arrive after the transaction was executed; its outcome is then older than the request, and other controllers may have reported the job's end since.

Evidence: a trace shows the transaction executed at revision 12, the cancellation at 13, the request joined at mirror 13, and the answer given with live=False. The mirror was right, the answer did not ask it.

Fix: the outcome answers only the request that caused the transaction, which was sent before it. Whoever joined waits for a read that begins when the outcome is known, as after a conflict. The read shows the job, or its end.

--- a/sagecove/coordination/submissions.py
+++ b/sagecove/coordination/submissions.py
@@ -253,8 +253,12 @@
                 *(context.mirror.applied, job.id in context.jobs, len(waiters) - 1),
             )
             for number, waiter in enumerate(waiters):
-                status = 200 if number else 201
-                answers.reply(waiter, status, api.JobStatus(job.id, api.PENDING))
+                if number:
+                    # It may have arrived after the transaction was executed, and others may have
+                    # reported the job's end since then.
+                    answers.answer_after_read("submit", job.id, waiter)
+                else:
+                    answers.reply(waiter, 201, api.JobStatus(job.id, api.PENDING))
         elif result.outcome is Outcome.CONFLICT:
             for waiter in waiters:
                 answers.answer_after_read("submit", job.id, waiter)
--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -205,14 +205,26 @@
 
     # -- users and workers ----------------------------------------------------------------------
 
-    def start_user_request(self, node: str, method: str, path: str, body: Any = b"") -> None:
-        """Send a user's request without waiting; check its answer by what users knew before."""
+    def start_user_request(
+        self,
+        node: str,
+        method: str,
+        path: str,
+        body: Any = b"",
+        on_answer: Callable[[int, Any], None] | None = None,
+    ) -> None:
+        """Send a user's request without waiting; check its answer by what users knew before.
+
+        `on_answer` is called with the status (0: no answer) and the content of the answer.
+        """
         asked_at, answered = next(self.answer_counter), [False]
 
         def answer(status: int | None, raw: bytes) -> None:
             if not answered[0]:
                 answered[0] = True
-                self.check_user_answer(path, body, status, raw, asked_at)
+                content = self.check_user_answer(path, body, status, raw, asked_at)
+                if on_answer is not None:
+                    on_answer(status or 0, content)
 
         self.request_controller(node, method, path, self._spelled(body), answer)
 
