--- a/sagecove/sweeps/routes.py
+++ b/sagecove/sweeps/routes.py
@@ -230,7 +230,7 @@
                 self._refuse(exchange, conflict)
             else:
                 # The sweep exists already: submitting the same id twice counts as one submission.
-                self._reply_sweep_state(record.id, exchange)
+                self._reply_after_read(record.id, exchange)
 
         conditions = [(key, 0) for key in keys]
         put = state_protocol.Put(keys[0], record)
@@ -310,11 +310,16 @@
         return count
 
     def _sweep_status(self, incoming: IncomingRequest, sweep_id: str) -> None:
+        self._reply_after_read(sweep_id, incoming.exchange)
+
+    def _reply_after_read(self, sweep_id: str, exchange: Any) -> None:
+        """Answer with the state of a sweep after a read that begins from now on."""
+
         def after_read(read_succeeded: bool) -> None:
             if read_succeeded:
-                self._reply_sweep_state(sweep_id, incoming.exchange)
+                self._reply_sweep_state(sweep_id, exchange)
             else:
-                self.users.refuse_state_unavailable(incoming.exchange)
+                self.users.refuse_state_unavailable(exchange)
 
         self.users.call_after_read(after_read)
 
