An answer that may change takes the read that covers its request

Change: answers to users are made in coordination/user_answers.py alone. What may still change, and a refusal that says that something was never accepted, takes a CoveredRequest: the exchange with the revision that its answer rests on. Only coordination/request_coverage.py creates one, after a read that began once the request had arrived or after the transaction that the request itself caused.

Final states have a module; the types of reads replace tuples.

--- a/sagecove/coordination/effects.py
+++ b/sagecove/coordination/effects.py
@@ -11,7 +11,7 @@
     method: str
     path: str
     body: bytes
-    exchange: Any
+    exchange: object
     from_peer: bool = False
 
 
--- a/sagecove/coordination/interfaces.py
+++ b/sagecove/coordination/interfaces.py
@@ -11,6 +11,7 @@
 from typing import Any, Protocol
 
 from sagecove.config import Settings
+from sagecove.coordination.covered_request import CoveredRequest
 from sagecove.coordination.effects import IncomingRequest
 from sagecove.coordination.model import JobRun, Machine, Placement, Shard
 from sagecove.coordination.refusals import RequestKind
@@ -220,9 +221,8 @@
     def tick(self, now: float) -> None:
         """Do periodic work, about every `TICK_S`."""
 
-    def answer_unknown_job(self, kind: RequestKind, job_id: str, exchange: Any) -> bool:
-        """Answer a `status`, `cancel` or `submit` request for a job unknown to the core, after the
-        read that such an answer requires. Return whether the feature answers."""
+    def answer_unknown_job(self, kind: RequestKind, job_id: str, request: CoveredRequest) -> bool:
+        """Answer a request for a job unknown to the core. Return whether the feature answers."""
 
     def submission_guard(self, job_id: str) -> SubmissionGuard | str | None:
         """Return what the submission of a job with this id needs beside the core's conditions, the
--- a/sagecove/coordination/mirror_sync.py
+++ b/sagecove/coordination/mirror_sync.py
@@ -101,6 +101,16 @@
                 # The job is accepted, so it must not be answered with 404.
                 self.unreadable_job_keys.add(event.key)
 
+    def apply_committed(self, changes: list[wire.Put | wire.Delete], revision: int) -> None:
+        """Apply the changes of a transaction of this controller that was executed at `revision`."""
+        for change in changes:
+            value = change.value if isinstance(change, wire.Put) else None
+            if change.key.startswith(records.LIVE_PREFIX):
+                self.apply(Event(change.key, value, revision))
+            elif isinstance(value, records.FinalStateRecord):
+                job_id = change.key.removeprefix(records.FINAL_STATE_PREFIX)
+                self.owner.final_states.remember(job_id, value.state, value.tasks, revision)
+
     def watch(self, now: float) -> None:
         """Ask the state service for the next changes; it answers when there are some."""
         self.watching = True
@@ -136,7 +146,8 @@
         )
 
     def _on_changes(self, started_at: float, is_sync: bool) -> ResponseCallback:
-        request_count = self.owner.users.request_count
+        coverage = self.owner.coverage
+        last_request = coverage.request_count
 
         def done(status: int | None, body: bytes) -> None:
             if is_sync:
@@ -162,20 +173,20 @@
                 # that no newer change existed when it began.
                 self._advance(answer.revision, started_at)
                 if is_sync:
-                    self.owner.users.read_done(request_count, True)
-                    if self.owner.users.waiting_requests:
+                    coverage.read_completed(last_request, answer.revision)
+                    if coverage.waiting:
                         self.sync_requested = True
                 return
             if status == 410:
                 self.owner.mirror.loaded = False
                 self.loading = False
                 if is_sync:
-                    self.owner.users.read_done(request_count, False)
+                    coverage.read_failed()
                 return
             if is_sync:
                 self.sync_failed_at = self.owner.now
                 self.next_sync_at = self.owner.now + self.owner.random.uniform(0.15, 0.4)
-                self.owner.users.read_done(request_count, False)
+                coverage.read_failed()
                 self.sync_requested = True
             else:
                 self.next_watch_at = self.owner.now + self.owner.random.uniform(0.3, 0.8)
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 from collections import OrderedDict
-from typing import Any, Protocol
+from typing import Protocol
 
 from sagecove.coordination.launch_tracker import Launch, LaunchTracker
 from sagecove.protocol import workers as worker_protocol
@@ -40,7 +40,7 @@
     def write_finished(self, job: JobRun, shard: Shard) -> None:
         """Record the tasks in `job.finished_unrecorded` that the shard's machines completed."""
 
-    def cancel(self, job: JobRun, exchange: Any) -> None:
+    def cancel(self, job: JobRun, exchange: object) -> None:
         """Cancel the job and answer its user once the cancellation is durable."""
 
 
--- a/sagecove/coordination/owner.py
+++ b/sagecove/coordination/owner.py
@@ -20,6 +20,7 @@
 from sagecove.coordination.estimates import Estimates
 from sagecove.coordination.event_counts import EventCounts
 from sagecove.coordination.failures import FailureTracker
+from sagecove.coordination.final_states import FinalStates
 from sagecove.coordination.handover.room_requests import RoomRequests
 from sagecove.coordination.images import Images
 from sagecove.coordination.interfaces import TICK_S, Feature, ResponseCallback
@@ -41,9 +42,11 @@
 from sagecove.coordination.pending_calls import PendingCalls
 from sagecove.coordination.preemption_policy import PreemptionPolicy
 from sagecove.coordination.provisioner import Provisioner
+from sagecove.coordination.request_coverage import RequestCoverage
 from sagecove.coordination.request_router import RequestRouter
 from sagecove.coordination.shards import Shards
 from sagecove.coordination.task_ends import TaskEndLog
+from sagecove.coordination.user_answers import UserAnswers
 from sagecove.coordination.users import Users
 from sagecove.coordination.workers import Workers
 from sagecove.protocol import state as wire
@@ -99,6 +102,8 @@
         self.last_pass_at = -1e9
         self.last_tick_at = -1e9
         self.sync = MirrorSync(self)
+        self.answers = UserAnswers(self)
+        self.coverage = RequestCoverage(self, self.answers)
         self.peers = Peers(self)
         self.estimates = Estimates(self)
         self.shards = Shards(self)
@@ -124,6 +129,7 @@
         self.failures = FailureTracker(self)
         self.workers = Workers(self)
         self.cancellations = Cancellations(self, self.workers.commands.stop_task)
+        self.final_states: FinalStates = FinalStates(self)
         self.inventory = Inventory(self, self.ledger, self.workers, self.shards)
         self.room_requests = RoomRequests(
             self, self.ledger, self.limits, self.backlog, self.shards, self.sync
@@ -294,16 +300,7 @@
 
         def committed(result: Result) -> None:
             if result.outcome is Outcome.DONE:
-                for change in changes:
-                    key = change.key
-                    value = change.value if isinstance(change, wire.Put) else None
-                    if key.startswith(records.LIVE_PREFIX):
-                        self.sync.apply(Event(key, value, result.revision))
-                    elif isinstance(value, records.FinalStateRecord):
-                        job_id = key[len(records.FINAL_STATE_PREFIX) :]
-                        self.users.remember_final_state(
-                            job_id, value.state, value.tasks, result.revision
-                        )
+                self.sync.apply_committed(changes, result.revision)
             done(result)
 
         self.store.commit(conditions, changes, committed, urgent=urgent)
--- a/sagecove/coordination/refusals.py
+++ b/sagecove/coordination/refusals.py
@@ -1,6 +1,7 @@
-"""Refusals of submissions, as data that can wait for a read of the state service."""
+"""What users request for a job, as data that can wait for a read of the state service."""
 
 import dataclasses
+import enum
 import logging
 
 log = logging.getLogger("sagecove.users")
@@ -28,6 +29,13 @@
         )
 
 
-# What a user asks about a job: `status`, `cancel` or `submit`; or a submission that is refused if
-# the job turns out to be unknown.
-RequestKind = str | RefusedSubmission
+class Operation(enum.Enum):
+    """What a user requests for a job."""
+
+    SUBMIT = "submit"
+    STATUS = "status"
+    CANCEL = "cancel"
+
+
+# An operation, or a submission that is refused if the job turns out to be unknown.
+RequestKind = Operation | RefusedSubmission
--- a/sagecove/coordination/request_router.py
+++ b/sagecove/coordination/request_router.py
@@ -24,14 +24,14 @@
             self.owner.peers.handle_request(request)
         elif path == "/hello":
             if request.method != "POST":
-                self.owner.effects.append(Reply(request.exchange, 405, Refusal("POST only")))
+                self.owner.answers.refuse(request.exchange, 405, "POST only")
             else:
                 self.owner.workers.handle_report(request.body, request.exchange)
         elif path == "/ready":
             self._handle_ready(request)
         elif path == "/api/jobs":
             if request.method != "POST":
-                self.owner.effects.append(Reply(request.exchange, 405, Refusal("POST only")))
+                self.owner.answers.refuse(request.exchange, 405, "POST only")
             else:
                 self.owner.users.submit(request.body, request.exchange)
         elif path.startswith("/api/jobs/"):
@@ -39,7 +39,7 @@
             if action not in ("", "cancel"):
                 self._handle_other_path(request)
             elif request.method != ("POST" if action else "GET"):
-                self.owner.effects.append(Reply(request.exchange, 405, Refusal("wrong method")))
+                self.owner.answers.refuse(request.exchange, 405, "wrong method")
             elif action:
                 self.owner.users.cancel(job_id, request.exchange)
             else:
@@ -52,7 +52,7 @@
     def _handle_other_path(self, request: IncomingRequest) -> None:
         """Offer a path unknown to the core to the features, else answer 404."""
         if not self._feature_handles(request):
-            self.owner.effects.append(Reply(request.exchange, 404, Refusal("no such path")))
+            self.owner.answers.refuse(request.exchange, 404, "no such path")
 
     def _feature_handles(self, request: IncomingRequest) -> bool:
         return any(feature.handle_request(request) for feature in self.owner.features)
@@ -62,30 +62,22 @@
         # Rarely needed, so imported on demand.
         from sagecove.coordination import explain
 
+        answers = self.owner.answers
         if request.method != "GET":
-            self.owner.effects.append(Reply(request.exchange, 405, Refusal("GET only")))
+            answers.refuse(request.exchange, 405, "GET only")
         elif not self.owner.mirror.loaded:
-            self.owner.effects.append(Reply(request.exchange, 503, Refusal("not ready"), 1.0))
+            answers.refuse_for_now(request.exchange, "not ready")
         elif path == "/cluster":
-            self.owner.effects.append(
-                Reply(request.exchange, 200, explain.cluster_view(self.owner))
-            )
+            answers.report_view(request.exchange, explain.cluster_view(self.owner))
         elif (job := self.owner.jobs.get(path[len("/explain/") :])) is not None:
-            self.owner.effects.append(
-                Reply(request.exchange, 200, explain.explain_job(self.owner, job))
-            )
+            answers.report_view(request.exchange, explain.explain_job(self.owner, job))
         elif not self._feature_handles(request):
-            self.owner.effects.append(
-                Reply(
-                    request.exchange,
-                    404,
-                    Refusal("no job under way has this id; ask for its status"),
-                )
-            )
+            reason = "no job under way has this id; ask for its status"
+            answers.refuse(request.exchange, 404, reason)
 
     def _handle_ready(self, request: IncomingRequest) -> None:
         if request.method not in ("GET", "HEAD"):
-            self.owner.effects.append(Reply(request.exchange, 405, Refusal("GET only")))
+            self.owner.answers.refuse(request.exchange, 405, "GET only")
         elif self.is_ready():
             self.owner.effects.append(Reply(request.exchange, 200, {"ready": True}))
         else:
@@ -107,7 +99,3 @@
         # In an outage of the state service all controllers are refused; leaving the load balancer
         # would only delay the recovery. If this node alone is refused, the others should answer.
         return not any(hint.connected for hint in recent_hints)
-
-    def retry_after_s(self) -> float:
-        """Return the seconds after which a refused user should retry."""
-        return 1.0 if self.owner.sync.connected() else 2.0
--- a/sagecove/coordination/submissions.py
+++ b/sagecove/coordination/submissions.py
@@ -4,18 +4,20 @@
 
 import logging
 from collections.abc import Sequence
-from typing import Any, Protocol
+from typing import Protocol
 
 from sagecove.config import Team
+from sagecove.coordination.covered_request import CoveredRequest
 from sagecove.coordination.interfaces import (
     BaseContext,
     Feature,
     SubmissionGuard,
-    TransactionSender,
 )
 from sagecove.coordination.model import JobRun
 from sagecove.coordination.placement import type_allowed
-from sagecove.coordination.refusals import RefusedSubmission, RequestKind
+from sagecove.coordination.refusals import Operation, RefusedSubmission, RequestKind
+from sagecove.coordination.request_coverage import RequestCoverage
+from sagecove.coordination.user_answers import StateConnection, UserAnswers
 from sagecove.protocol import state as wire
 from sagecove.protocol import users as api
 from sagecove.protocol.cloud import MachineType
@@ -36,13 +38,6 @@
 SubmissionClaim = tuple[wire.Put, tuple[str, int]]
 
 
-class StateConnection(Protocol):
-    """Tells whether the state service can be used."""
-
-    def connected(self) -> bool:
-        """Return whether the state service has answered recently."""
-
-
 class ConfiguredTeams(Protocol):
     """The teams of the settings."""
 
@@ -56,7 +51,7 @@
         """Update the machine types that the service avoids."""
 
 
-class SubmissionContext(BaseContext, TransactionSender, Protocol):
+class SubmissionContext(BaseContext, Protocol):
     """Interface that submissions require of the owner."""
 
     mirror: Mirror
@@ -80,22 +75,13 @@
         """Increment the metric of an event."""
 
 
-class SubmissionAnswers(Protocol):
-    """Answers the users that submit."""
-
-    def reply(self, exchange: Any, status: int, body: Any) -> None:
-        """Send the answer to a request."""
-
-    def refuse_for_now(self, exchange: Any, reason: str, retry_s: float = 1.0) -> None:
-        """Answer 503 with the time after which to retry."""
+class JobRequests(Protocol):
+    """Answers the users that submit a job which is known, and claims jobs."""
 
-    def refuse_state_unavailable(self, exchange: Any) -> None:
-        """Answer 503 because the state service does not answer."""
-
-    def answer_if_known(self, job_id: str, exchange: Any) -> bool:
+    def answer_if_known(self, job_id: str, exchange: object) -> bool:
         """Answer if the job is known to this controller; return whether it is."""
 
-    def answer_after_read(self, kind: RequestKind, job_id: str, exchange: Any) -> None:
+    def answer_after_read(self, kind: RequestKind, job_id: str, exchange: object) -> None:
         """Answer with what is known of the job after a read that begins from now on."""
 
     def claim_at_submission(self, job: JobRun) -> SubmissionClaim | None:
@@ -105,13 +91,21 @@
 class Submissions:
     """Accepts or refuses jobs."""
 
-    def __init__(self, context: SubmissionContext, answers: SubmissionAnswers) -> None:
+    def __init__(
+        self,
+        context: SubmissionContext,
+        answers: UserAnswers,
+        coverage: RequestCoverage,
+        job_requests: JobRequests,
+    ) -> None:
         self.context = context
         self.answers = answers
-        # By job: the exchanges that wait for the write of its record.
-        self.open_submissions: dict[str, list[Any]] = {}
+        self.coverage = coverage
+        self.job_requests = job_requests
+        # By job whose record is being written: the exchanges of submissions that came meanwhile.
+        self.open_submissions: dict[str, list[object]] = {}
 
-    def submit(self, body: bytes, exchange: Any) -> None:
+    def submit(self, body: bytes, exchange: object) -> None:
         """Handle the submission of a job."""
         context, answers = self.context, self.answers
         try:
@@ -126,7 +120,7 @@
             self.refuse(exchange, RefusedSubmission(job.id, 422, reserved, len(body), 0))
             return
         # Known jobs are answered first: they were accepted, even if they would be refused now.
-        if answers.answer_if_known(job.id, exchange):
+        if self.job_requests.answer_if_known(job.id, exchange):
             return
         if not context.mirror.loaded or not context.machine_types:
             answers.refuse_for_now(exchange, "the machine types are not known yet")
@@ -139,7 +133,7 @@
         if refusal is not None or kept_job is None:
             # It must not be refused if it was accepted earlier, under other conditions.
             refusal = refusal or self._too_long(job, len(body))
-            answers.answer_after_read(refusal, job.id, exchange)
+            self.job_requests.answer_after_read(refusal, job.id, exchange)
             return
         if job.id in self.open_submissions:
             self.open_submissions[job.id].append(exchange)
@@ -152,14 +146,22 @@
             kept_job, exchange, [guard for guard in guards if isinstance(guard, SubmissionGuard)]
         )
 
-    def refuse(self, exchange: Any, refusal: RefusedSubmission) -> None:
-        """Tell a user that a submission is refused; log and count it."""
-        refusal.log()
-        self.context.count(f"refused {refusal.status}")
+    def refuse(self, exchange: object, refusal: RefusedSubmission) -> None:
+        """Refuse a submission that can't have been accepted; log and count it."""
+        self._note_refusal(refusal)
+        self.answers.refuse(exchange, refusal.status, refusal.reason)
+
+    def refuse_unknown(self, request: CoveredRequest, refusal: RefusedSubmission) -> None:
+        """Refuse a submission whose job was not accepted before; log and count it."""
+        self._note_refusal(refusal)
         if refusal.status == 503:
-            self.answers.refuse_for_now(exchange, refusal.reason)
+            self.answers.refuse_for_now(request.exchange, refusal.reason)
         else:
-            self.answers.reply(exchange, refusal.status, api.Refusal(refusal.reason))
+            self.answers.refuse_unknown(request, refusal.status, refusal.reason)
+
+    def _note_refusal(self, refusal: RefusedSubmission) -> None:
+        refusal.log()
+        self.context.count(f"refused {refusal.status}")
 
     def _refusal(self, job: api.Job, body_bytes: int) -> RefusedSubmission | None:
         """Return the refusal of a job that can never run."""
@@ -205,7 +207,7 @@
                 return "its tasks can't be both apart in zones and all in one"
         return None
 
-    def _write(self, job: api.Job, exchange: Any, guards: Sequence[SubmissionGuard]) -> None:
+    def _write(self, job: api.Job, exchange: object, guards: Sequence[SubmissionGuard]) -> None:
         """Write a job's record, with a claim if this controller has room for the job."""
         context = self.context
         record = JobRecord(job, context.wall())
@@ -220,48 +222,59 @@
         job_run.first_seen_at = context.now
         if job_run.service:
             context.estimates.update_avoided_types(job_run)
-        claim = self.answers.claim_at_submission(job_run)
+        claim = self.job_requests.claim_at_submission(job_run)
         if claim is not None:
             changes = [claim[0], *additional]
             conditions.append(claim[1])
 
-        def done(result: Result) -> None:
-            if result.outcome is Outcome.CONFLICT and claim is not None:
-                own_keys = [key for key, _ in own_conditions]
-                if not any(key in own_keys for key in result.failed):
-                    put = wire.Put(JOB_PREFIX + job.id, record)
-                    context.commit(
-                        own_conditions,
-                        [put, *additional],
-                        lambda second_result: self._written(job, second_result),
-                        urgent=True,
-                    )
-                    return
-            self._written(job, result)
-
-        context.commit(conditions, changes, done, urgent=True)
-        self.open_submissions[job.id] = [exchange]
-
-    def _written(self, job: api.Job, result: Result) -> None:
-        """Answer the users that wait for a job's record."""
-        context, answers = self.context, self.answers
-        waiters = self.open_submissions.pop(job.id, [])
-        if result.outcome is Outcome.DONE:
-            log.info(
-                "accepted job=%s team=%s class=%s tasks=%d revision=%d mirror=%d live=%s joined=%d",
-                *(job.id, job.team, job.klass, job.tasks, result.revision),
-                *(context.mirror.applied, job.id in context.jobs, len(waiters) - 1),
-            )
-            for number, waiter in enumerate(waiters):
-                if number:
-                    # It may have arrived after the transaction was executed, and others may have
-                    # reported the job's end since then.
-                    answers.answer_after_read("submit", job.id, waiter)
-                else:
-                    answers.reply(waiter, 201, api.JobStatus(job.id, api.PENDING))
+        def on_outcome(result: Result, covered: CoveredRequest | None) -> None:
+            own_keys = [key for key, _ in own_conditions]
+            claim_failed = claim is not None and result.outcome is Outcome.CONFLICT
+            if claim_failed and not any(key in own_keys for key in result.failed):
+                put = wire.Put(JOB_PREFIX + job.id, record)
+                self.coverage.after_own_transaction(
+                    exchange,
+                    own_conditions,
+                    [put, *additional],
+                    lambda *outcome: self._written(job, exchange, *outcome),
+                )
+            else:
+                self._written(job, exchange, result, covered)
+
+        self.open_submissions[job.id] = []
+        self.coverage.after_own_transaction(exchange, conditions, changes, on_outcome)
+
+    def _written(
+        self, job: api.Job, exchange: object, result: Result, covered: CoveredRequest | None
+    ) -> None:
+        """Answer the user whose submission caused a transaction, and those that came meanwhile.
+
+        The latter may have arrived after the transaction was executed, so its outcome says nothing
+        to them: others may have reported the job's end since then.
+        """
+        joined = self.open_submissions.pop(job.id, [])
+        if covered is not None:
+            self._report_accepted(job, covered, len(joined))
         elif result.outcome is Outcome.CONFLICT:
-            for waiter in waiters:
-                answers.answer_after_read("submit", job.id, waiter)
+            self.job_requests.answer_after_read(Operation.SUBMIT, job.id, exchange)
+        else:
+            self.answers.refuse_state_unavailable(exchange)
+        for joined_exchange in joined:
+            if result.outcome in (Outcome.DONE, Outcome.CONFLICT):
+                self.job_requests.answer_after_read(Operation.SUBMIT, job.id, joined_exchange)
+            else:
+                self.answers.refuse_state_unavailable(joined_exchange)
+
+    def _report_accepted(self, job: api.Job, request: CoveredRequest, joined_count: int) -> None:
+        """Answer 201, unless this controller has meanwhile seen the end of the job."""
+        context = self.context
+        live = JOB_PREFIX + job.id in context.mirror.items
+        log.info(
+            "accepted job=%s team=%s class=%s tasks=%d revision=%d mirror=%d live=%s joined=%d",
+            *(job.id, job.team, job.klass, job.tasks, request.revision),
+            *(context.mirror.applied, live, joined_count),
+        )
+        if live:
+            self.answers.report_live(request, api.JobStatus(job.id, api.PENDING), 201)
         else:
-            for waiter in waiters:
-                answers.refuse_state_unavailable(waiter)
+            self.job_requests.answer_after_read(Operation.SUBMIT, job.id, request.exchange)
--- a/sagecove/protocol/users.py
+++ b/sagecove/protocol/users.py
@@ -18,6 +18,7 @@
 
 ARRAY, GANG, SERVICE = "sweep", "ensemble", "service"
 PENDING, RUNNING, DONE, CANCELLED = "pending", "running", "done", "aborted"
+FINAL_STATES = frozenset({DONE, CANCELLED})
 PRIORITY_RANKS = {"production": 3, "urgent": 2, "normal": 1, "low": 0}
 
 
--- a/sagecove/sweeps/blocks.py
+++ b/sagecove/sweeps/blocks.py
@@ -11,9 +11,10 @@
 
 import logging
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Protocol
 
 from sagecove.coordination.model import JobRun, Shard
+from sagecove.coordination.refusals import Operation
 from sagecove.protocol import state as wire
 from sagecove.protocol.users import CANCELLED, DONE, JobStatus
 from sagecove.storage import taskset
@@ -31,7 +32,7 @@
 )
 
 if TYPE_CHECKING:
-    from sagecove.sweeps.manager import SweepManager
+    from sagecove.coordination.owner import Owner
 
 log = logging.getLogger("sagecove.sweeps")
 
@@ -40,6 +41,18 @@
 DONE_WAIT_S = 1.0
 
 
+class BlockContext(Protocol):
+    """Interface that blocks require of the feature."""
+
+    owner: Owner
+    sweeps: dict[str, Sweep]
+    # By key: the blocks with decisions to write.
+    blocks_to_write: dict[str, Block]
+
+    def remember_final_state(self, job_id: str, state: str) -> None:
+        """Remember the durable final state of a point."""
+
+
 class Block:
     """A block of a live sweep; keeps the durable state of the jobs of its points.
 
@@ -47,7 +60,7 @@
     bit per point.
     """
 
-    def __init__(self, manager: SweepManager, sweep: Sweep, number: int) -> None:
+    def __init__(self, manager: BlockContext, sweep: Sweep, number: int) -> None:
         self.manager = manager
         self.owner = manager.owner
         self.sweep = sweep
@@ -211,14 +224,14 @@
         self.finishing[self._point_of(job)] = (job, shard)
         self.manager.blocks_to_write[self.key] = self
 
-    def cancel(self, job: JobRun, exchange: Any) -> None:
+    def cancel(self, job: JobRun, exchange: object) -> None:
         """Cancels the point of a job."""
         self.cancel_point(self._point_of(job), exchange)
 
-    def cancel_point(self, k: int, exchange: Any) -> None:
+    def cancel_point(self, k: int, exchange: object) -> None:
         """Cancels a point, whether or not it is a job on this controller, and answers the user once
         the cancellation is durable."""
-        owner, users = self.owner, self.owner.users
+        owner = self.owner
         job_id = point_id(self.sweep.id, self.first_point + k)
         record = self.record()
         for shard, bits in self.claims.items():
@@ -234,11 +247,11 @@
                 owner.cancellations.raise_floor(result.revision)
                 owner.peers.announce_cancellation(job_id)
                 log.info("cancelled job=%s", job_id)
-                users.reply(exchange, 200, JobStatus(job_id, CANCELLED))
+                owner.answers.report_final(exchange, JobStatus(job_id, CANCELLED))
             elif result.outcome is Outcome.CONFLICT:
-                users.answer_after_read("cancel", job_id, exchange)
+                owner.users.answer_after_read(Operation.CANCEL, job_id, exchange)
             else:
-                users.refuse_state_unavailable(exchange)
+                owner.answers.refuse_state_unavailable(exchange)
 
         conditions = [
             *self._unchanged_conditions(),
--- a/sagecove/sweeps/manager.py
+++ b/sagecove/sweeps/manager.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from sagecove.coordination.covered_request import CoveredRequest
 from sagecove.coordination.interfaces import SubmissionGuard
 from sagecove.coordination.refusals import RequestKind
 from sagecove.protocol import state as wire
@@ -530,11 +531,11 @@
             self._routes = Routes(self)
         return self._routes
 
-    def answer_unknown_job(self, kind: RequestKind, job_id: str, exchange: Any) -> bool:
+    def answer_unknown_job(self, kind: RequestKind, job_id: str, request: CoveredRequest) -> bool:
         """Answers a request about a job unknown to the core if its id has the form of a point's."""
         if records.parse_point_id(job_id) is None:
             return False
-        self.routes().answer_point_request(kind, job_id, exchange)
+        self.routes().answer_point_request(kind, job_id, request)
         return True
 
     def handle_request(self, ask: IncomingRequest) -> bool:
--- a/sagecove/sweeps/model.py
+++ b/sagecove/sweeps/model.py
@@ -9,10 +9,16 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
-from sagecove.protocol.users import ARRAY, Job
+from sagecove.protocol.users import ARRAY, CANCELLED, DONE, PENDING, Job
 from sagecove.storage import taskset
 from sagecove.sweeps.parameter_space import INDEX_PARAMETER, Space, Value
-from sagecove.sweeps.records import BlockRecord, ProgressRecord, SweepRecord, point_id
+from sagecove.sweeps.records import (
+    BlockRecord,
+    EndedSweepRecord,
+    ProgressRecord,
+    SweepRecord,
+    point_id,
+)
 from sagecove.sweeps.template import CompiledTemplate, TemplateError
 
 if TYPE_CHECKING:
@@ -212,3 +218,31 @@
         taskset.decode(text) & all_points for text in (record.done, record.cancelled, record.made)
     ]
     return BlockSets(claims, sets[0], sets[1], sets[2], failed)
+
+
+# State of a point that has a job record of its own and isn't known to have ended.
+HAS_RECORD = "made"
+
+
+def point_state(
+    sweep: Sweep, point_number: int, record: BlockRecord, ended_sweep: EndedSweepRecord | None
+) -> tuple[str, str]:
+    """Return a point's state by its block's record, and the reason for it.
+
+    Beside the states of a job there are `left_out`, `failed` and `HAS_RECORD`.
+    """
+    offset = point_number % sweep.block_size
+    sets = decode_block(record, sweep.block_size)
+    if sets.done >> offset & 1:
+        return DONE, ""
+    if sets.cancelled >> offset & 1:
+        return CANCELLED, ""
+    if offset in sets.failed:
+        return "failed", sets.failed[offset]
+    if sets.made >> offset & 1:
+        return HAS_RECORD, ""
+    if sweep.point_values(point_number) is None:
+        return "left_out", "the filter leaves it out"
+    if ended_sweep is not None and ended_sweep.state == CANCELLED:
+        return CANCELLED, ""
+    return PENDING, ""
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -13,7 +13,6 @@
     "lab.fakes",
     "sweeps.blocks",
     "sweeps.manager",
-    "sweeps.routes",
 }
 IMPORT_CYCLES = [
     # Parts of the owner that refer to its type.
@@ -22,7 +21,7 @@
         for name in ("leadership", "owner", "peers", "provisioner", "request_router")
     }
     | {"coordination." + name for name in ("shards", "mirror_sync", "users", "workers")},
-    {"sweeps.blocks", "sweeps.manager", "sweeps.model", "sweeps.routes"},
+    {"sweeps.blocks", "sweeps.model"},
 ]
 
 
--- a/tests/test_one_task.py
+++ b/tests/test_one_task.py
@@ -166,7 +166,7 @@
     assert [k for k in world.state.keys if k.startswith("s/job/")] == [f"s/job/{SERVICE_JOB}"]
     for owner in world.owners.values():
         assert list(owner.jobs) == [SERVICE_JOB]
-        assert len(owner.cancellations.confirmed) <= 300 and not owner.users.waiting_requests
-        assert not owner.users.open_reads and not owner.users.queued_reads
+        assert len(owner.cancellations.confirmed) <= 300 and not owner.coverage.waiting
+        assert not owner.final_states.open_reads and not owner.final_states.queued_reads
     # Hardly any cancelled job started after its user was told.
     assert all(after < 2.0 for _, after in world.starts_after_cancel), world.starts_after_cancel
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -392,7 +392,7 @@
     body = b'{"ledger":%d,"events":[]}' % owner.mirror.applied
     effects = owner.handle([CallResult(first[0].token, 200, body)], now, now)
     assert len([effect for effect in effects if isinstance(effect, Reply)]) == 1
-    assert len(owner.users.waiting_requests) == 1
+    assert len(owner.coverage.waiting) == 1
 
 
 def test_spot_warning_saves_tasks_and_stops_placement() -> None:
