--- a/sagecove/sweeps/sweep_submissions.py
+++ b/sagecove/sweeps/sweep_submissions.py
@@ -66,6 +66,8 @@
         request = decode_sweep_request(incoming.body)
         if not self.owner.sync.connected():
             self.owner.answers.refuse_state_unavailable(exchange)
+        elif request.id in self.feature.sweeps:
+            self.sweep_answers.report_after_read(request.id, exchange)
         elif len(self.owner.store.urgent) > MAX_URGENT_COUNT:
             self.owner.answers.refuse_for_now(exchange, "too many requests at once", 2.0)
         else:
@@ -100,16 +102,16 @@
         nodes = len(self.owner.settings.nodes)
         at = self.owner.wall()
         record = build_sweep_record(request, template, space, at, nodes, self.max_value_bytes, only)
-        conflicting_job = self._point_among(record.id, self.owner.jobs)
-        if conflicting_job is not None and record.id not in self.feature.sweeps:
-            raise self._id_conflict(record.id, conflicting_job)
+        if (conflicting_job := self._point_among(record.id, self.owner.jobs)) is not None:
+            self._refuse_unless_accepted(record.id, conflicting_job, exchange)
+            return
 
         # Jobs that ended before sweeps were enabled wrote no key below TAKEN_SWEEP_ID_PREFIX, so
         # look for their final states too.
         def on_listed(_: CoveredRequest, pairs: list[state_protocol.Pair]) -> None:
             ended_jobs = (pair.key[len(FINAL_STATE_PREFIX) :] for pair in pairs)
             if (ended_job := self._point_among(record.id, ended_jobs)) is not None:
-                self.refusals.refuse(exchange, self._id_conflict(record.id, ended_job))
+                self._refuse_unless_accepted(record.id, ended_job, exchange)
             else:
                 self._write_sweep(record, exchange)
 
@@ -125,6 +127,25 @@
                 return str(job_id)
         return None
 
+    def _refuse_unless_accepted(
+        self, sweep_id: str, conflicting_job: str, exchange: object
+    ) -> None:
+        """Refuse a sweep whose id conflicts with a job's, unless the job is a point of the sweep:
+        then the sweep was accepted before.
+        """
+        refused = self._id_conflict(sweep_id, conflicting_job)
+
+        def on_covered(request: CoveredRequest) -> None:
+            if not self.sweep_answers.report_if_live(sweep_id, request):
+                self.lookup.find_ended_sweep(
+                    sweep_id,
+                    request,
+                    lambda ended_sweep: self.sweep_answers.report_ended(ended_sweep, request),
+                    lambda: self.refusals.refuse_unknown(request, refused),
+                )
+
+        self.owner.coverage.after_read(exchange, on_covered)
+
     @staticmethod
     def _id_conflict(sweep_id: str, job_id: str) -> RequestRefused:
         return RequestRefused(
--- a/tests/test_repeated_sweeps.py
+++ b/tests/test_repeated_sweeps.py
@@ -4,9 +4,11 @@
 submission at once at all controllers, whose mirrors may be behind.
 """
 
+import pytest
+
 from sagecove.lab.deployment import job_submission
 from sagecove.lab.world import World
-from tests.test_sweeps import submit_sweep, sweep_world
+from tests.test_sweeps import is_over, submit_sweep, sweep_world
 
 SPACE = "x in 1..6"
 
@@ -45,3 +47,26 @@
     delay_changes(world, "n1", "n2")
     assert world.user_request("n0", "POST", "/api/sweeps/run-s/cancel")[1]["state"] == "aborted"
     assert states_at_all_nodes(world) == [(200, "aborted")] * 3
+
+
+@pytest.mark.parametrize("hands", [1, 2])
+def test_repeated_sweep_is_known_while_and_after_its_points_end(hands: int) -> None:
+    # Guards against 422 once a point with a job record of its own (of several tasks) has ended.
+    world = sweep_world()
+    assert submit_sweep(world, SPACE, hands=hands)[0] == 201
+    while not is_over(world):
+        assert {status for status, _ in states_at_all_nodes(world, hands=hands)} == {200}
+        world.run(0.5)
+    assert states_at_all_nodes(world, hands=hands) == [(200, "done")] * 3
+
+
+def test_repeated_cancelled_sweep_is_known_while_jobs_of_its_points_remain() -> None:
+    # Guards against 422 as long as jobs of the cancelled sweep's points have records.
+    world = sweep_world()
+    fields = {"hands": 2, "shape": "service"}
+    assert submit_sweep(world, SPACE, **fields)[0] == 201
+    world.run(3)
+    assert world.user_request("n0", "POST", "/api/sweeps/run-s/cancel")[1]["state"] == "aborted"
+    for _ in range(20):
+        assert states_at_all_nodes(world, **fields) == [(200, "aborted")] * 3
+        world.run(0.1)
