--- a/sagecove/lab/loopback.py
+++ b/sagecove/lab/loopback.py
@@ -19,9 +19,10 @@
 import msgspec
 
 from sagecove.lab import deployment
+from sagecove.lab.answer_history import RuleViolation
 from sagecove.lab.fakes import AnswerCallback, FakeCloud, FakeStateService, FakeWorker
 from sagecove.lab.message_copies import CopiedRequest, MessageCopies, RequestKind
-from sagecove.lab.rule_checker import RuleChecker, RuleViolation
+from sagecove.lab.rule_checker import RuleChecker
 from sagecove.transport.client import Client
 from sagecove.transport.server import Exchange, Server
 
--- a/sagecove/lab/rule_checker.py
+++ b/sagecove/lab/rule_checker.py
@@ -9,6 +9,7 @@
 from random import Random
 from typing import Any
 
+from sagecove.lab.answer_history import AnswerHistory, RuleViolation
 from sagecove.lab.deployment import CANCEL_S, LEASE_S, MACHINE_TYPES, TEAMS, job_submission
 from sagecove.lab.fakes import FakeWorker
 
@@ -24,10 +25,6 @@
 REQUIRED_FIELDS = set(job_submission(0)) - {"breeds", "range", "dueS"}
 
 
-class RuleViolation(AssertionError):
-    """A rule of PROTOCOL was broken; the text is the rule's name and what broke it."""
-
-
 class RuleChecker:
     """Records what is submitted, cancelled, started and completed, and checks it by the rules."""
 
@@ -40,17 +37,18 @@
         self.specs: dict[str, dict[str, Any]] = {}
         # Accepted sweeps: their points are jobs that nobody submits individually.
         self.accepted_sweeps: set[str] = set()
+        # Submitted sweeps that were not refused; users may not know yet that they are accepted.
+        self.submitted_sweeps: set[str] = set()
         # When users first learnt that a job is cancelled.
         self.cancelled_at: dict[str, float] = {}
         self.completed_tasks: set[str] = set()
         self.failing_jobs: set[str] = set()
         # The last state of each job that was reported to users.
         self.reported_states: dict[str, str] = {}
-        # Orders requests and answers. `state_history` holds, for each job, from which number on its
-        # users have known that it is accepted, done or cancelled; a request that was sent before
-        # may still be answered with the earlier state.
+        # Orders requests and answers.
         self.answer_counter = itertools.count()
-        self.state_history: dict[str, list[tuple[int, str]]] = {}
+        self.job_history = AnswerHistory(self.answer_counter)
+        self.sweep_history = AnswerHistory(self.answer_counter)
         # (task, seconds) for tasks that started so long after users learnt of the cancellation.
         # Messages in flight cause some of them; none may be more than `cancel_s` late.
         self.starts_after_cancel: list[tuple[str, float]] = []
@@ -215,28 +213,21 @@
         `asked_at` is the `answer_counter` number at which the request was sent, if other requests
         were open meanwhile.
         """
-        history = self.state_history.get(job_id, [])
-        earlier_states = [
-            state for moment, state in history if asked_at is None or moment < asked_at
-        ]
-        previous_state = earlier_states[-1] if earlier_states else None
+        history = self.job_history
         if submitted:
             self.submitted_at.setdefault(job_id, self.now)
         if status in (200, 201):
             self.unanswered_since.pop(job_id, None)
-        elif previous_state is not None:
+        elif history.known_before(job_id, asked_at) is not None:
             self.unanswered_since.setdefault(job_id, self.now)
-        if status == 404 and previous_state is not None:
-            raise RuleViolation(f"forgotten {job_id} was {previous_state}")
-        if submitted and status in (400, 422) and previous_state is not None:
-            raise RuleViolation(f"forgotten {job_id} was {previous_state}, then refused")
+        history.check_refusal(job_id, status, submitted, asked_at)
         if status not in (200, 201) or not isinstance(answer, dict):
             return
-        if job_id not in self.specs and job_id.rpartition(".p")[0] not in self.accepted_sweeps:
+        sweep_id = job_id.rpartition(".p")[0]
+        if job_id not in self.specs and not self._sweep_may_exist(sweep_id):
             raise RuleViolation(f"invented {job_id}")
         state = answer["standing"]
-        if previous_state in ("done", "aborted") and state != previous_state:
-            raise RuleViolation(f"went_back {job_id} from {previous_state} to {state}")
+        history.check_state(job_id, state, asked_at)
         if state == "done":
             all_tasks = {
                 f"{job_id}/{n}" for n in range(self.specs.get(job_id, {"hands": 1})["hands"])
@@ -247,16 +238,39 @@
                 )
         if submitted and status == 201 and job_id in self.specs:
             self._check_accepted(self.specs[job_id])
-        final_state = next((s for _, s in history if s in ("done", "aborted")), None)
-        if final_state is not None and state in ("done", "aborted") and state != final_state:
-            raise RuleViolation(f"went_back {job_id} from {final_state} to {state}")
-        if not history or (final_state is None and state in ("done", "aborted")):
-            self.state_history.setdefault(job_id, []).append((next(self.answer_counter), state))
-        if final_state is None:
+        history.check_final_state(job_id, state)
+        if history.final_state(job_id) is None:
             self.reported_states[job_id] = state
+        history.record(job_id, state)
         if state == "aborted":
             self.cancelled_at.setdefault(job_id, self.now)
 
+    def record_sweep_answer(
+        self,
+        sweep_id: str,
+        status: int,
+        answer: Any,
+        *,
+        submitted: bool,
+        asked_at: int | None = None,
+    ) -> None:
+        """Check an answer that a user was given about a sweep; see `record_answer`."""
+        self.sweep_history.check_refusal(sweep_id, status, submitted, asked_at)
+        if submitted and status in (400, 413, 422):
+            self.submitted_sweeps.discard(sweep_id)
+        if status not in (200, 201) or not isinstance(answer, dict):
+            return
+        if submitted:
+            self.accepted_sweeps.add(sweep_id)
+        if not self._sweep_may_exist(sweep_id):
+            raise RuleViolation(f"invented {sweep_id}")
+        self.sweep_history.check_state(sweep_id, answer["state"], asked_at)
+        self.sweep_history.check_final_state(sweep_id, answer["state"])
+        self.sweep_history.record(sweep_id, answer["state"])
+
+    def _sweep_may_exist(self, sweep_id: str) -> bool:
+        return sweep_id in self.accepted_sweeps or sweep_id in self.submitted_sweeps
+
     def _check_accepted(self, spec: dict[str, Any]) -> None:
         """Check that an accepted job can run and that its submission is complete."""
         missing = REQUIRED_FIELDS - set(spec)
--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -16,10 +16,11 @@
 from sagecove.coordination.effects import Reply
 from sagecove.coordination.ledger_check import ledger_differences
 from sagecove.coordination.owner import Owner
+from sagecove.lab.answer_history import RuleViolation
 from sagecove.lab.deployment import controller_settings
 from sagecove.lab.fakes import FakeCloud, FakeStateService, FakeWorker
 from sagecove.lab.network import Network
-from sagecove.lab.rule_checker import RuleChecker, RuleViolation
+from sagecove.lab.rule_checker import RuleChecker
 from sagecove.lab.submission_bodies import sound_body
 from sagecove.protocol.decoding import MalformedMessage, decoder
 
@@ -218,6 +219,8 @@
         `on_answer` is called with the status (0: no answer) and the content of the answer.
         """
         asked_at, answered = next(self.answer_counter), [False]
+        if (method, path) == ("POST", "/api/sweeps"):
+            self.submitted_sweeps.add(body["id"])
 
         def answer(status: int | None, raw: bytes) -> None:
             if not answered[0]:
@@ -237,12 +240,25 @@
     def check_user_answer(
         self, path: str, body: Any, status: int | None, raw: bytes, asked_at: int | None = None
     ) -> Any:
-        """Check an answer about a job that a user was given, and return its content."""
+        """Check an answer that a user was given, and return its content."""
         content = json.loads(raw) if raw else None
-        job_id, submitted = self._job_of_request(path, body), path == "/api/jobs"
-        self.record_answer(job_id, status or 0, content, submitted=submitted, asked_at=asked_at)
+        self._record_user_answer(path, body, status or 0, content, asked_at)
         return content
 
+    def _record_user_answer(
+        self, path: str, body: Any, status: int, content: Any, asked_at: int | None = None
+    ) -> None:
+        """Check an answer about a job or a sweep; others are not checked."""
+        parts = path.strip("/").split("/")
+        if parts[:2] == ["api", "jobs"]:
+            job_id, submitted = self._job_of_request(path, body), path == "/api/jobs"
+            self.record_answer(job_id, status, content, submitted=submitted, asked_at=asked_at)
+        elif isinstance(body, dict) and (path == "/api/sweeps" or parts[3:] == ["retry"]):
+            sweep_id = str(body.get("id"))
+            self.record_sweep_answer(sweep_id, status, content, submitted=True, asked_at=asked_at)
+        elif parts[:2] == ["api", "sweeps"] and parts[3:] in ([], ["cancel"]):
+            self.record_sweep_answer(parts[2], status, content, submitted=False, asked_at=asked_at)
+
     def user_request(self, node: str, method: str, path: str, body: Any = b"") -> tuple[int, Any]:
         """Send a user's request and advance up to 6 s until it is answered; status 0: no answer."""
         answers: list[tuple[int, Any]] = []
@@ -251,13 +267,7 @@
         asked_at = self.now
         while not answers and self.now - asked_at < 6:
             self.run(0.02)
-        if path.startswith("/api/jobs"):
-            answer_seen = answers[0] if answers else (0, None)
-            self.record_answer(
-                self._job_of_request(path, body), *answer_seen, submitted=path == "/api/jobs"
-            )
-        if answers and (method, path) == ("POST", "/api/sweeps") and answers[0][0] in (200, 201):
-            self.accepted_sweeps.add(body["id"])
+        self._record_user_answer(path, body, *(answers[0] if answers else (0, None)))
         return answers[0] if answers else (0, None)
 
     @staticmethod
