Jobs whose records can't be read are tracked by revision

Found by going through the answers that rest on a controller's memory. A job whose record this controller can't decode (of a later build) or apply (an exception) is called pending as long as its key is in a set.

What callers see: (1) if the state service has dropped the change that ended the job (10,000 changes later), the records are listed anew, but the set kept the key: pending for good, also after others have told the end. (2) If the change that raised is read again, it is skipped as known, and the key left the set: 404 for an accepted job.

Cause: the set says which keys, not as of when. Fix: the revision of the record is kept with the key; only a later revision, or a listing that began later and lacks the key, takes it out, and no older record puts it in.

--- a/sagecove/coordination/mirror_sync.py
+++ b/sagecove/coordination/mirror_sync.py
@@ -39,8 +39,9 @@
         self.loaded_items: dict[str, Item] = {}
         self.load_revision = 0
         self.load_started_at = 0.0
-        # Keys of jobs whose records can't be decoded, such as those of a later version.
-        self.unreadable_job_keys: set[str] = set()
+        # Keys of live jobs whose records can't be decoded, such as those of a later version, or
+        # can't be applied; with the revisions of these records.
+        self.unreadable_job_keys: dict[str, int] = {}
 
     def load(self, now: float) -> None:
         """Start to load all live records, page by page, unless a load is under way."""
@@ -64,7 +65,7 @@
             self.load_revision = page.revision
         for pair in page.items:
             value = self.owner.parse(pair.key, pair.value)
-            self._track_readable(pair.key, value)
+            self._track_readable(pair.key, value, pair.version)
             self.loaded_items[pair.key] = Item(value, pair.version)
         if page.more and page.items:
             self.owner.store.read_page(
@@ -73,6 +74,7 @@
             return
         self.loading = False
         events = self.owner.mirror.differences(self.loaded_items, self.load_revision)
+        self._forget_unlisted_jobs()
         self.loaded_items = {}
         for event in events:
             self.apply(event)
@@ -83,15 +85,29 @@
             self.owner.cancellations.raise_floor(self.load_revision)
             log.info("loaded keys=%d ledger=%d", len(self.owner.mirror.items), self.load_revision)
 
-    def _track_readable(self, key: str, value: object) -> None:
+    def _track_readable(self, key: str, value: object, revision: int) -> None:
         """Keep track of job records that can't be decoded. Otherwise users would get a 404 for such
         a job.
         """
+        if not key.startswith(records.JOB_PREFIX):
+            return
         if value is not None:
-            self.unreadable_job_keys.discard(key)
-        elif key.startswith(records.JOB_PREFIX) and key not in self.unreadable_job_keys:
+            self._forget_unreadable(key, revision)
+        elif revision > max(self.owner.mirror.applied, self.unreadable_job_keys.get(key, 0)):
+            # An older record is known already, or was deleted since.
             log.error("unreadable record key=%s", key)
-            self.unreadable_job_keys.add(key)
+            self.unreadable_job_keys[key] = revision
+
+    def _forget_unreadable(self, key: str, revision: int) -> None:
+        """Forget an unreadable record that was replaced or deleted at a later revision."""
+        if self.unreadable_job_keys.get(key, revision) < revision:
+            del self.unreadable_job_keys[key]
+
+    def _forget_unlisted_jobs(self) -> None:
+        """Forget unreadable records that were deleted before the listing that was just read."""
+        for key in list(self.unreadable_job_keys):
+            if key not in self.loaded_items:
+                self._forget_unreadable(key, self.load_revision + 1)
 
     def apply(self, event: Event) -> None:
         """Apply a change to the owner; an exception does not stop the changes beside it."""
@@ -99,7 +115,7 @@
             job_id = event.key.removeprefix(records.JOB_PREFIX)
             if event.key != job_id and event.value is not None and job_id not in self.owner.jobs:
                 # The job is accepted, so it must not be answered with 404.
-                self.unreadable_job_keys.add(event.key)
+                self.unreadable_job_keys[event.key] = event.revision
 
     def apply_committed(self, changes: list[wire.Put | wire.Delete], revision: int) -> None:
         """Apply the changes of a transaction of this controller that was executed at `revision`."""
@@ -164,10 +180,10 @@
                         continue
                     if change.put is not None:
                         value = self.owner.parse(change.put, change.value)
-                        self._track_readable(change.put, value)
+                        self._track_readable(change.put, value, change.version)
                         self.apply(Event(change.put, value, change.version))
                     elif change.delete is not None:
-                        self.unreadable_job_keys.discard(change.delete)
+                        self._forget_unreadable(change.delete, change.version)
                         self.apply(Event(change.delete, None, change.version))
                 # Waiting users may be answered only after a read that returns at once, which proves
                 # that no newer change existed when it began.
