--- a/tests/test_stale_answers.py
+++ b/tests/test_stale_answers.py
@@ -3,8 +3,8 @@
 Users submit jobs and sweeps, ask at all controllers within milliseconds, repeat their submissions
 and cancel, above all right after they learnt that something is accepted or over. Single answers of
 the state service are late, each by itself; besides, transactions are carried out without an answer,
-controllers end, the state service is out or refuses one controller alone. `World` checks each
-answer; afterwards each job and each sweep ends.
+at once or late, controllers end or stand still, the state service is out or refuses one controller
+alone. `World` checks each answer; afterwards each job and each sweep ends.
 
 `python -m bench.stale_answers FIRST LAST` plays more seeds.
 """
@@ -34,7 +34,7 @@
 # Seconds by which a single answer of the state service is late, and shares of answers that are.
 LATE_ANSWER_S = (0.2, 1.1)
 LATE_SHARES = (0.05, 0.2, 0.5)
-UNANSWERED_SHARE = 1 / 30
+UNANSWERED_SHARE = LATE_WRITE_SHARE = 1 / 30
 # Seconds between requests about the same job or sweep.
 BURST_PAUSES_S = (0.0, 0.0, 0.02, 0.1, 0.4)
 FINAL_STATES = ("done", "aborted")
@@ -47,6 +47,8 @@
     UNANSWERED = enum.auto()
     CONTROLLERS_END = enum.auto()
     OUTAGES = enum.auto()
+    LATE_WRITES = enum.auto()
+    PAUSES = enum.auto()
 
 
 class StaleAnswers:
@@ -81,8 +83,11 @@
         return self.random.uniform(*LATE_ANSWER_S)
 
     def _transaction_fault(self, node: str, body: Any) -> str | None:
-        lost = Fault.UNANSWERED in self.faults and self.random.random() < UNANSWERED_SHARE
-        return "unanswered" if lost else None
+        if Fault.UNANSWERED in self.faults and self.random.random() < UNANSWERED_SHARE:
+            return "unanswered"
+        if Fault.LATE_WRITES in self.faults and self.random.random() < LATE_WRITE_SHARE:
+            return "late"
+        return None
 
     # -- requests -------------------------------------------------------------------------------
 
@@ -236,6 +241,11 @@
         ends_after_s = self.random.uniform(0.3, 6.0)
         self.world.call_later(ends_after_s, lambda: self.world.state.refused_nodes.discard(name))
 
+    def pause_controller(self) -> None:
+        """Pause a controller now, or between its next decision and the messages that follow."""
+        pauses = self.random.choice([self.world.paused_until, self.world.output_held_until])
+        pauses[self.node()] = self.world.now + self.random.uniform(0.3, 4.0)
+
     # -- the history ----------------------------------------------------------------------------
 
     def choose_steps(self) -> list[Callable[[], None]]:
@@ -248,6 +258,8 @@
             steps.append(self.end_controller)
         if Fault.OUTAGES in self.faults:
             steps += [self.stop_state_service, self.refuse_controller]
+        if Fault.PAUSES in self.faults:
+            steps += [self.pause_controller] * 2
         return steps
 
     def play(self) -> None:
@@ -288,16 +300,16 @@
         self.world.call_later(1.0, self._ask_for_all)
 
 
-FAULTS = [Fault.NONE, Fault.UNANSWERED, Fault.CONTROLLERS_END, Fault.OUTAGES]
+FAULTS = [*Fault, Fault.NONE, Fault.UNANSWERED | Fault.CONTROLLERS_END]
 
 
-@pytest.mark.parametrize("faults", [*FAULTS, Fault.UNANSWERED | Fault.CONTROLLERS_END])
+@pytest.mark.parametrize("faults", FAULTS)
 @pytest.mark.parametrize("seed", range(8))
 def test_no_answer_about_a_job_is_older_than_its_request(seed: int, faults: Fault) -> None:
     StaleAnswers(seed, faults).play()
 
 
-@pytest.mark.parametrize("faults", [*FAULTS, Fault.UNANSWERED | Fault.CONTROLLERS_END])
+@pytest.mark.parametrize("faults", FAULTS)
 @pytest.mark.parametrize("seed", range(100, 104))
 def test_no_answer_about_a_sweep_is_older_than_its_request(seed: int, faults: Fault) -> None:
     StaleAnswers(seed, faults, sweeps=True).play()
