--- a/sagecove/lab/world.py
+++ b/sagecove/lab/world.py
@@ -256,9 +256,19 @@
         elif isinstance(body, dict) and (path == "/api/sweeps" or parts[3:] == ["retry"]):
             sweep_id = str(body.get("id"))
             self.record_sweep_answer(sweep_id, status, content, submitted=True, asked_at=asked_at)
-        elif parts[:2] == ["api", "sweeps"] and parts[3:] in ([], ["cancel"]):
+        elif path == "/api/sweeps" and status == 200:
+            for view in content["sweeps"]:
+                self.record_sweep_answer(
+                    view["id"], status, view, submitted=False, asked_at=asked_at
+                )
+        elif parts[:2] == ["api", "sweeps"] and self._is_about_sweep(parts[2:]):
             self.record_sweep_answer(parts[2], status, content, submitted=False, asked_at=asked_at)
 
+    @staticmethod
+    def _is_about_sweep(parts: list[str]) -> bool:
+        """Return whether the end of a path asks for a sweep's state or cancels the sweep."""
+        return len(parts) > 0 and parts[0] != "preview" and parts[1:] in ([], ["cancel"])
+
     def user_request(self, node: str, method: str, path: str, body: Any = b"") -> tuple[int, Any]:
         """Send a user's request and advance up to 6 s until it is answered; status 0: no answer."""
         answers: list[tuple[int, Any]] = []
--- a/tests/test_stale_answers.py
+++ b/tests/test_stale_answers.py
@@ -182,6 +182,7 @@
             [
                 lambda node: self.ask(node, "POST", "/api/sweeps", self.sweep_bodies[name]),
                 lambda node: self.ask(node, "GET", f"/api/sweeps/{name}"),
+                lambda node: self.ask(node, "GET", "/api/sweeps"),
                 lambda node: self.ask_for_point(node, name, self.random.randrange(4)),
             ]
         )
