A final state of an unknown kind is not told; a request that raises costs no other of its read

And what raises after a read of a final state lost the answers of all that share the read; each is contained by itself.

--- a/sagecove/coordination/final_states.py
+++ b/sagecove/coordination/final_states.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from sagecove.coordination.cancellations import Cancellations
+from sagecove.coordination.containment import Containment
 from sagecove.protocol import users as api
 from sagecove.protocol.decoding import MalformedMessage, convert_message
 from sagecove.protocol.state import Pair
@@ -27,10 +28,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FinalStateAnswer:
-    """What a read found: a final state, that there is none, or (`readable` False) nothing."""
+    """What a read found: a final state, that there is none (`absent`), or nothing that is known."""
 
     final_state: FinalState | None
-    readable: bool
+    absent: bool
 
 
 OnFinalStateRead = Callable[[FinalStateAnswer], None]
@@ -42,6 +43,7 @@
     now: float
     store: Store
     cancellations: Cancellations
+    containment: Containment
 
 
 class FinalStates:
@@ -78,16 +80,12 @@
         def on_answer(status: int | None, body: bytes) -> None:
             del self.open_reads[job_id]
             answer = self._decode(job_id, status, body)
-            for on_read in waiting:
-                on_read(answer)
             queued = self.queued_reads.pop(job_id, [])
-            if not queued:
-                return
-            if answer.final_state is not None:
-                for on_read in queued:
-                    on_read(answer)
-            else:
+            if queued and answer.final_state is None:
                 self._send_read(job_id, queued)
+                queued = []
+            for on_read in waiting + queued:
+                context.containment.run("final state read", on_read, answer)
 
         context.store.read(context.now, FINAL_STATE_PREFIX + job_id, on_answer)
 
@@ -95,10 +93,16 @@
         """Return what an answer says; a state that has become known meanwhile counts too."""
         pair = decode_answer(body, Pair) if status == 200 else None
         if pair is not None:
-            try:
-                record = convert_message(pair.value, FinalStateRecord)
-            except MalformedMessage:
-                pair = None
-            else:
+            record = _decode_record(pair.value)
+            if record is not None:
                 self.remember(job_id, record.state, record.tasks, pair.version)
-        return FinalStateAnswer(self.known.get(job_id), pair is not None or status == 404)
+        return FinalStateAnswer(self.known.get(job_id), absent=status == 404)
+
+
+def _decode_record(value: object) -> FinalStateRecord | None:
+    """Return the record of a final state, or None if it is invalid or of a state unknown here."""
+    try:
+        record: FinalStateRecord = convert_message(value, FinalStateRecord)
+    except MalformedMessage:
+        return None
+    return record if record.state in api.FINAL_STATES else None
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -145,7 +145,7 @@
         def on_read(answer: FinalStateAnswer) -> None:
             if answer.final_state is not None:
                 self._report_final(kind, job_id, answer.final_state, request.exchange)
-            elif not answer.readable:
+            elif not answer.absent:
                 self.answers.refuse_for_now(request.exchange, "the state service does not answer")
             elif accepted:
                 self.answers.refuse_for_now(request.exchange, "try again")
--- a/tests/test_unreadable_jobs.py
+++ b/tests/test_unreadable_jobs.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import pytest
+
 from sagecove.lab.deployment import job_submission
 from sagecove.lab.world import World, job_state, world_with_machines
 
@@ -49,6 +51,33 @@
     assert {job_state(world, node, JOB) for node in world.owners} == {"aborted"}
 
 
+@pytest.mark.parametrize("record", [{"state": "expired", "tasks": 1}, {"state": 7}, []])
+def test_final_state_that_cannot_be_read_is_not_told(record: Any) -> None:
+    # Such a record of a later build says that the job was accepted, but not how it ended.
+    world = world_with_machines(1)
+    spec = world.add_spec(job_submission(1))
+    world.state.commit({"if": [], "then": [{"put": f"o/{JOB}", "v": record}]})
+    for method, path, body in (
+        ("GET", f"/api/jobs/{JOB}", b""),
+        ("POST", f"/api/jobs/{JOB}/cancel", b""),
+        ("POST", "/api/jobs", spec),
+    ):
+        assert world.user_request("n0", method, path, body)[0] == 503
+
+
+def test_request_that_raises_costs_others_of_the_same_read_nothing() -> None:
+    world = world_with_machines(1)
+    world.allows_contained_faults = True
+    final_states = world.owners["n0"].final_states
+    read: list[bool] = []
+    for _ in range(2):
+        # The second pair waits for a read that begins after the first one.
+        final_states.read(JOB, lambda answer: 1 // 0)
+        final_states.read(JOB, lambda answer: read.append(answer.absent))
+    world.run(1)
+    assert read == [True, True]
+
+
 def test_job_whose_change_raised_is_known_when_the_change_is_read_again() -> None:
     # Guards against 404: the same change, read again, seemed to be applied.
     world = world_with_machines(1)
