A point that has become a job meanwhile is cancelled as a job

Cause: a point without a job record is cancelled by a note in its block. Whether it has one was read first, and that read may take a while; in between the same controller writes the record of the point's job, and the note, on the newer block, is accepted beside it. The job lives on.

Fix: the block looks at the point again when it writes; a point that has a record, or is over, is answered after a new read, which finds the job and cancels it as a job.

--- a/sagecove/sweeps/blocks.py
+++ b/sagecove/sweeps/blocks.py
@@ -233,6 +233,10 @@
         the cancellation is durable."""
         owner = self.owner
         job_id = point_id(self.sweep.id, self.first_point + k)
+        if (self.with_job_record | self.ended_points) >> k & 1:
+            # Written since the state was read that the request was answered by.
+            owner.users.answer_after_read(Operation.CANCEL, job_id, exchange)
+            return
         record = self.record()
         for shard, bits in self.claims.items():
             if bits >> k & 1:
