Refusals that take no evidence are listed too

Read once more: a 404 or 422 could be sent by UserAnswers.refuse, which takes no CoveredRequest, and no test noticed. Its call sites are listed with their reasons now, as those of the other answers without a read are.

--- a/tests/test_answer_evidence.py
+++ b/tests/test_answer_evidence.py
@@ -45,6 +45,31 @@
 }
 
 
+# Calls of `refuse` (of answers, or of what hands on to them), which takes no evidence either.
+REFUSALS_WITHOUT_A_READ = {
+    # An id of another form.
+    "coordination.users": 1,
+    # Paths and methods that don't exist; a view of what is under way here.
+    "coordination.request_router": 7,
+    # Malformed; an id that a sweep which was accepted reserves for good; both by way of the third.
+    "coordination.submissions": 3,
+    # A point that can't run, which never changes.
+    "sweeps.point_routes": 1,
+    # The request alone, its template and the settings (docs/user-answers.md).
+    "sweeps.routes": 1,
+    # An id that a job reserves for good.
+    "sweeps.sweep_submissions": 1,
+    # Hands on what the others refuse.
+    "sweeps.refusals": 2,
+}
+# They refuse reports of workers.
+MODULES_FOR_WORKERS = {
+    "coordination.foreign_reports",
+    "coordination.held_reports",
+    "coordination.machine_adoption",
+}
+
+
 def called_names(path: Path) -> Counter[str]:
     """Return how often a module calls each name or attribute."""
     counts: Counter[str] = Counter()
@@ -84,6 +109,15 @@
     assert found == ANSWERS_WITHOUT_A_READ
 
 
+def test_refusals_without_a_read_are_listed() -> None:
+    found = {module: counts["refuse"] for module, counts in product_calls().items()}
+    assert {
+        module: count
+        for module, count in found.items()
+        if count and module not in MODULES_FOR_WORKERS
+    } == REFUSALS_WITHOUT_A_READ
+
+
 def test_live_state_cannot_be_reported_as_final() -> None:
     answers = UserAnswers(world_with_machines(1).owners["n0"])
     for state in ("pending", "running"):
