A repeated job from a template is not refused by a newer version of the template

Cause: the values were judged by the newest version before anything was asked about the job. Fix: such a refusal is told only after a read that shows no such job, as other refusals of jobs.

--- a/sagecove/sweeps/template_routes.py
+++ b/sagecove/sweeps/template_routes.py
@@ -11,6 +11,7 @@
 
 from sagecove.coordination.covered_request import CoveredRequest
 from sagecove.coordination.effects import IncomingRequest
+from sagecove.coordination.refusals import RefusedSubmission
 from sagecove.protocol import state as state_protocol
 from sagecove.protocol.decoding import MalformedMessage, convert_message
 from sagecove.protocol.users import JOB_ID_PATTERN
@@ -154,17 +155,30 @@
             raise RequestRefused(400, "`nameId` is not a valid job id")
 
         def on_template(template: sweep_records.Template) -> None:
-            compiled = CompiledTemplate(template)
             try:
-                compiled.check_values(request.values)
-                job = compiled.render(request.nameId, request.values)
-            except TemplateError as error:
-                raise RequestRefused(422, str(error)) from None
-            body = msgspec.json.encode(job)
-            if len(body) > self.max_value_bytes:
-                # Workers get the description from the record, so it can't be shortened.
-                limit = f"{self.max_value_bytes:.0f} bytes"
-                raise RequestRefused(413, f"the job's description is longer than {limit}")
-            self.owner.users.submit(body, incoming.exchange)
+                body = self._render(template, request)
+            except RequestRefused as refused:
+                # An earlier version of the template may have been accepted for this job.
+                refusal = RefusedSubmission(
+                    request.nameId, refused.status, refused.reason, len(incoming.body), 0
+                )
+                self.owner.users.answer_after_read(refusal, request.nameId, incoming.exchange)
+            else:
+                self.owner.users.submit(body, incoming.exchange)
 
         self.find_template(name, request.version, incoming.exchange, on_template)
+
+    def _render(self, template: sweep_records.Template, request: JobRequest) -> bytes:
+        """Return the submission of a job; raises `RequestRefused` if it is not acceptable."""
+        compiled = CompiledTemplate(template)
+        try:
+            compiled.check_values(request.values)
+            job = compiled.render(request.nameId, request.values)
+        except TemplateError as error:
+            raise RequestRefused(422, str(error)) from None
+        body = msgspec.json.encode(job)
+        if len(body) > self.max_value_bytes:
+            # Workers get the description from the record, so it can't be shortened.
+            limit = f"{self.max_value_bytes:.0f} bytes"
+            raise RequestRefused(413, f"the job's description is longer than {limit}")
+        return body
