--- a/tests/test_sweeps.py
+++ b/tests/test_sweeps.py
@@ -5,6 +5,7 @@
 jobs.
 """
 
+import itertools
 import json
 from typing import Any
 
@@ -331,8 +332,11 @@
     assert shown["parameters"][1]["default"] == 1.0
     assert world.user_request("n2", "GET", "/api/templates/reindex?version=3")[0] == 404
 
+    ids = itertools.count()
+
     def single(status: int, reported: str, version: int | None = None, **values: Any) -> None:
-        body = {"nameId": f"run-{len(world.specs)}", "values": values, "version": version}
+        # A new id each time: a known job is not refused.
+        body = {"nameId": f"run-{next(ids)}", "values": values, "version": version}
         answer = world.user_request("n0", "POST", "/api/templates/reindex/jobs", body)
         assert answer[0] == status and reported in json.dumps(answer[1]), answer
 
