--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -262,8 +262,9 @@
         ]
         if failed:
             return 409, {"failed": failed, "ledger": self.ledger}
+        revision = self.ledger
         if changes:
-            self.ledger += 1
+            revision = self.ledger = self.ledger + 1
             for change in changes:
                 if "put" in change:
                     self.keys[change["put"]] = (change["v"], self.ledger, change.get("tenure"))
@@ -271,7 +272,7 @@
                 elif self.keys.pop(change["drop"], None):
                     self.log.append((self.ledger, change["drop"], None))
             await self.wake()
-        return 200, {"ledger": self.ledger}
+        return 200, {"ledger": revision}
 
 
 # -- cloud ---------------------------------------------------------------------------------------
