--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -398,6 +398,8 @@
         self.images = {}
         self.nodes = list(deployment.nodes)
         self.node = int(name[3:]) % len(self.nodes)
+        if deployment.first_node is not None:
+            self.node = deployment.first_node
         self.lease_from = time.monotonic()
         self.dead = False
         self.changed = asyncio.Event()
@@ -617,6 +619,8 @@
         self.often = {}
         self.task_starts, self.kills = {}, {}
         self.nodes = []
+        # Number of the controller that workers report to first; None: one after the other.
+        self.first_node = None
         self.violations = []
         self.reserved = []
         self.temporary = tempfile.TemporaryDirectory(prefix="sagecove-review-")
