Room is kept for gangs under leases that run out, and not where services stay

Cause: `Preemptor.withhold_machines` withheld every machine that the gang may use, whether or not it could become empty, and without end. The same is in `Claimer._reserve_for_gang`: room was promised for good to a gang that would fit only without the services there.

Change: `WithheldMachines` withholds as many machines as the gang needs, and only such that will hold a task of it once what ends or may be preempted is gone (`lasting_room`). Withheld and reserved room of a machine is kept under one lease (`RoomLeases`): two thirds of the bound on waiting (90 s), then two ninths open to all, whichever jobs ask, so that gangs can't take turns. The leases are in memory: a successor counts anew, and 60 s plus a claim is still below the bound. `_reserve_for_gang` is a module of its own now, as is what tells whether a gang waits.

--- a/sagecove/coordination/claims/claimer.py
+++ b/sagecove/coordination/claims/claimer.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from zlib import crc32
 
 from sagecove.coordination.backlog import Backlog
+from sagecove.coordination.claims.gang_reservations import GangReservations
 from sagecove.coordination.claims.pass_state import PassState
 from sagecove.coordination.claims.preemptor import Preemptor
 from sagecove.coordination.estimates import NOT_STARTED_RANK, Estimates
@@ -16,12 +16,8 @@
 from sagecove.coordination.model import JobRun, Machine, Shard, fixed_precedence, to_millionths
 from sagecove.coordination.placement import (
     RoomByMachine,
-    add_promised,
     count_fitting_tasks,
-    machine_suits,
     plan_placements,
-    tasks_fitting,
-    unpromised_room,
 )
 from sagecove.protocol import state as wire
 from sagecove.storage import taskset
@@ -59,6 +55,7 @@
         self.sync = sync
         self.state = state
         self.preemptor = preemptor
+        self.reservations = GangReservations(context, state, preemptor.waits, shards)
         # DESIGN's fetchAhead, 4 s beside a poll of 1.5 s: short tasks are claimed before there is
         # room for them; otherwise an array of thousands needs a write for every few tasks.
         self.claim_ahead_s = state.poll_s * 8 / 3
@@ -176,7 +173,7 @@
             # after it had begun to reserve never requested its share of the limit.
             self._request_share(now, shard.name, job, machines, promised)
             if job.gang:
-                self._reserve_for_gang(job, shard, wanted, machines, promised)
+                self.reservations.reserve(job, shard.name, wanted, machines, promised)
             return
         if count < wanted:
             self._request_share(now, shard.name, job, machines, promised, min(count, planned_count))
@@ -259,63 +256,6 @@
         nodes = len(self.context.settings.nodes)
         return self.context.random.random() < self.lost_share * (1 - 1 / nodes)
 
-    def _reserve_for_gang(
-        self,
-        job: JobRun,
-        shard: Shard,
-        count: int,
-        machines: list[Machine],
-        promised: RoomByMachine,
-    ) -> None:
-        """Reserve free room of its home shard (in one zone if required) for a gang that does not
-        fit yet and has waited longer than its machines take to boot. Without that, smaller gangs
-        passed a large one by for good where tasks share machines."""
-        if not self.preemptor.waits_long(
-            self.context.now, job
-        ) or not self.preemptor.limit_has_room(job):
-            return
-        spec = job.spec
-        suitable = [
-            m
-            for m in self.context.machines_by_shard.get(shard.name, {}).values()
-            if m.machine_type is not None and not m.record.leaving and machine_suits(job, m)
-        ]
-        home = self.shards.home_shard(job)
-        if spec.one_zone:
-            # The zone with most machines, whatever is free at the moment: a stable choice.
-            zones = Counter(
-                m.record.zone for m in self.context.machines_by_shard.get(home, {}).values()
-            )
-            zone = max(sorted(zones), key=lambda z: zones[z], default="")
-            suitable = [m for m in suitable if m.record.zone == zone]
-        if home == shard.name:
-            names = {m.name for m in suitable}
-            for machine in machines:
-                more = min(count, tasks_fitting(spec, unpromised_room(machine, promised)))
-                if more > 0 and machine.name in names:
-                    add_promised(promised, machine.name, spec, more)
-                    count -= more
-                if count <= 0:
-                    break
-            return
-        # Only empty machines can be handed over: for what the home shard cannot hold, each other
-        # shard lets its part of them run empty, least used first.
-        part = -(
-            -self.shards.tasks_beyond_capacity(job, home)
-            // max(1, len(self.context.settings.nodes) - 1)
-        )
-        suitable.sort(key=lambda m: (m.used[0], m.name))
-        for machine in suitable:
-            if part <= 0:
-                break
-            kind = machine.machine_type
-            assert kind is not None
-            part -= tasks_fitting(spec, (kind.cpus, kind.gpus, kind.memory_gb))
-            room = unpromised_room(machine, promised)
-            held = promised.setdefault(machine.name, [0.0, 0.0, 0.0])
-            for resource in range(3):
-                held[resource] += max(0.0, room[resource])
-
     def claim(self, job: JobRun, shard: Shard, bits: int) -> None:
         """Write a claim on tasks for a shard, within its share of the team's limit."""
         if job.durable_state is not None:
--- a/sagecove/coordination/claims/pass_state.py
+++ b/sagecove/coordination/claims/pass_state.py
@@ -4,6 +4,7 @@
 
 from bisect import bisect_right
 
+from sagecove.coordination.claims.room_leases import RoomLeases
 from sagecove.coordination.interfaces import OwnerContext
 from sagecove.coordination.ledger import Ledger
 from sagecove.coordination.model import JobRun, Machine
@@ -31,6 +32,8 @@
         self.packing = False
         # Machines with room for the smallest array task of the pass; None: not computed.
         self.array_candidates: list[Machine] | None = None
+        # Bounds of keeping room from jobs that wait, by machine.
+        self.machine_leases = RoomLeases()
         # By machine: the gang that its room is withheld from arrays for.
         self.withheld: dict[str, JobRun] = {}
         # By team: CPUs and GPUs needed by jobs that wait to be claimed as a whole.
--- a/sagecove/coordination/claims/preemptor.py
+++ b/sagecove/coordination/claims/preemptor.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from math import ceil
 
 from sagecove.coordination.claims.candidates import Candidate, find_candidates
+from sagecove.coordination.claims.gang_waits import GangWaits
 from sagecove.coordination.claims.pass_state import PassState
-from sagecove.coordination.interfaces import MachineCommands, OwnerContext, ShardQueries
+from sagecove.coordination.interfaces import MachineCommands, OwnerContext
 from sagecove.coordination.ledger import Ledger
 from sagecove.coordination.limits.team_limits import TeamLimits
 from sagecove.coordination.model import (
@@ -21,17 +21,11 @@
 from sagecove.coordination.placement import (
     RoomByMachine,
     add_promised,
-    fills_most_of_machine,
-    machine_allowed,
     machine_suits,
     tasks_fitting,
     unpromised_room,
 )
 from sagecove.coordination.preemption_policy import PreemptionPolicy, task_resources
-from sagecove.protocol.cloud import MachineType
-
-# A gang counts as waiting long after so many boots of the slowest machine type.
-GANG_LONG_WAIT_BOOT_COUNT = 1.5
 
 
 class Preemptor:
@@ -45,10 +39,10 @@
         limits: TeamLimits,
         policy: PreemptionPolicy,
         workers: MachineCommands,
-        shards: ShardQueries,
+        waits: GangWaits,
     ) -> None:
         self.context = context
-        self.shards = shards
+        self.waits = waits
         self.ledger = ledger
         self.limits = limits
         self.policy = policy
@@ -58,39 +52,6 @@
         self.reclaimed_cpus: dict[str, float] = {}
         self.reclaimed_at = 0.0
 
-    def withhold_machines(
-        self, now: float, shard: Shard, machines: list[Machine], ordered: list[JobRun]
-    ) -> dict[str, JobRun]:
-        """Return machines that arrays leave room on for a waiting gang whose task takes most of a
-        machine: it would only have to preempt them again. Not for good for a gang that the fleet
-        could not hold, and not for one that waits for its team's limit."""
-        out: dict[str, JobRun] = {}
-        for job in ordered:
-            if not job.gang or job.placed or not (job.unclaimed or job.placeable(shard.name)):
-                continue
-            if not self.limit_has_room(job) or not (
-                self.waits_long(now, job) or self._machines_may_be_booting(now, job)
-            ):
-                continue
-            for machine in machines:
-                machine_type = machine.machine_type
-                if (
-                    machine_type is None
-                    or machine.name in out
-                    or not machine_allowed(job.spec, machine)
-                ):
-                    continue
-                if fills_most_of_machine(job.spec, machine_type):
-                    out[machine.name] = job
-        return out
-
-    def limit_has_room(self, job: JobRun) -> bool:
-        """Return whether the team's limit allows all unclaimed tasks of a gang. If not, nothing is
-        reserved for it: others waited beside idle machines for as long as the team's other work
-        ran, which may be for good."""
-        lack = job.unclaimed.bit_count()
-        return self.limits.claimable_anywhere(job.spec, lack) >= lack
-
     def hold_back_for(self, now: float, shard: Shard, job: JobRun) -> None:
         """Hold back room in the team's limit for a job that waits to be claimed as a whole, and
         stop the team's tasks of lower priority if the limit has too little left.
@@ -99,7 +60,7 @@
         """
         spec = job.spec
         held = self.add_held_back(job, job.unclaimed.bit_count())
-        if job.gang and self.waits_long(now, job):
+        if job.gang and self.waits.waits_long(now, job):
             _add_resources(self.state.held_back_long_by_team, job, job.unclaimed.bit_count())
         if (
             not self.state.preemption_due
@@ -165,15 +126,6 @@
         """Hold back the needs of `count` tasks of a job; return all that its team holds back."""
         return _add_resources(self.state.held_back_by_team, job, count)
 
-    def waits_long(self, now: float, job: JobRun) -> bool:
-        """Return whether a job has waited longer than machines of its own take to boot, so that
-        smaller jobs of its precedence no longer go ahead of it."""
-        return not self._machines_may_be_booting(now, job) and self.shards.fleet_can_hold(job)
-
-    def _machines_may_be_booting(self, now: float, job: JobRun) -> bool:
-        """Return whether machines rented for a job may still be booting."""
-        return now - job.first_seen_at < gang_long_wait_s(self.context.machine_types.values())
-
     def cap(self, job: JobRun, wanted: int, claimed: bool = False) -> int:
         """Cap the tasks of a job to claim (or with `claimed`, to place) at what its team's limit
         has left beside held back amounts. Only resources that the job uses count: gangs waiting
@@ -323,11 +275,6 @@
         return max(0, satisfied_count - ceil(self.state.unplaced_claim_cpus / max(spec.cpus, 0.1)))
 
 
-def gang_long_wait_s(types: Iterable[MachineType]) -> float:
-    """Return the wait after which a gang counts as waiting long."""
-    return GANG_LONG_WAIT_BOOT_COUNT * max((t.boot_s for t in types), default=0.0)
-
-
 def _add_resources(table: dict[str, list[float]], job: JobRun, count: int) -> list[float]:
     """Add the needs of `count` tasks to their team's entry, and return that entry."""
     held = table.setdefault(job.spec.team, [0.0, 0.0])
--- a/sagecove/coordination/claims/scheduling_pass.py
+++ b/sagecove/coordination/claims/scheduling_pass.py
@@ -11,11 +11,13 @@
 
 from sagecove.coordination.backlog import Backlog
 from sagecove.coordination.claims.claimer import Claimer
+from sagecove.coordination.claims.gang_waits import GangWaits
 from sagecove.coordination.claims.pass_state import PassState
 from sagecove.coordination.claims.placer import Placer
 from sagecove.coordination.claims.preemptor import Preemptor
 from sagecove.coordination.claims.releaser import Releaser
 from sagecove.coordination.claims.results import Results
+from sagecove.coordination.claims.withheld_machines import WithheldMachines
 from sagecove.coordination.estimates import Estimates
 from sagecove.coordination.images import Images
 from sagecove.coordination.interfaces import (
@@ -74,8 +76,10 @@
         self.peers = peers
         self.poll_s = context.settings.poll_interval_s
         self.pass_state = PassState(context, ledger, policy)
-        self.preemptor = Preemptor(
-            context, self.pass_state, ledger, limits, policy, workers, shards
+        waits = GangWaits(context, shards, limits)
+        self.preemptor = Preemptor(context, self.pass_state, ledger, limits, policy, workers, waits)
+        self.withheld_machines = WithheldMachines(
+            context, shards, waits, self.pass_state.machine_leases
         )
         self.releaser = Releaser(context, self.pass_state, sync)
         self.claimer = Claimer(
@@ -140,7 +144,7 @@
             self.pass_state.no_room_by_preemption = NoRoomCache()
             if self.pass_state.preemption_due:
                 self.pass_state.scan_running_jobs(shard.name)
-            self.pass_state.withheld = self.preemptor.withhold_machines(
+            self.pass_state.withheld = self.withheld_machines.choose(
                 now, shard, machines_with_room, dirty_jobs
             )
             # DESIGN: prefer fuller machines while some wait to be returned.
--- a/sagecove/coordination/explain.py
+++ b/sagecove/coordination/explain.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from sagecove.config import UNLIMITED_AMOUNT
-from sagecove.coordination.claims.preemptor import gang_long_wait_s
+from sagecove.coordination.claims.gang_waits import gang_long_wait_s
 from sagecove.coordination.interfaces import FailureJudge, OwnerContext
 from sagecove.coordination.limits.records import ResourceAmount
 from sagecove.coordination.limits.team_limits import TeamLimits
--- /dev/null
+++ b/tests/test_kept_room.py
@@ -0,0 +1,89 @@
+"""Room that is kept for one job is not kept from others that wait beside it for too long.
+
+`RuleChecker` checks in each test that no job waits for 90 s beside room under its team's limit.
+"""
+
+from typing import Any
+
+import pytest
+
+from sagecove.coordination.claims.room_leases import ROOM_LEASE_S, ROOM_OPEN_S, RoomLeases
+from sagecove.lab.deployment import job_submission
+from sagecove.lab.rule_checker import WAITING_LIMIT_S
+from sagecove.lab.world import World
+
+TEAMS: list[dict[str, Any]] = [
+    {"name": "red", "cpus": 0.0, "cpus_max": 64.0, "gpus": 0, "gpus_max": 0},
+    {"name": "green", "cpus": 0.0, "cpus_max": 16.0, "gpus": 0, "gpus_max": 0},
+]
+# A replica that leaves 3 of a small machine's 4 CPUs and 4 of its 16 GB, so that each has one.
+REPLICAS: dict[str, Any] = {"shape": "service", "rank": "production", "vcpus": 1.0}
+REPLICA_MEMORY_GB = 12.0
+
+
+def world_of_services(node_count: int, machine_count: int, **fields: Any) -> World:
+    """Return a world with a replica of a service on each of its machines, and no more machines."""
+    world = World(node_count, teams=TEAMS)
+    world.cloud.capacity = {"small": machine_count, "gpu": 0}
+    for number in range(machine_count):
+        world.cloud.start_machine("small", "ab"[number % 2], False)
+    world.run(6)
+    replicas = {"memoryGb": REPLICA_MEMORY_GB, **REPLICAS, **fields}
+    world.submit("n0", job_submission(1, hands=machine_count, **replicas))
+    world.run_until(lambda: world.running_task_count("run-000001") == machine_count, 60)
+    assert all(len(worker.live_tasks()) == 1 for worker in world.workers.values())
+    world.poll_jobs()
+    world.faults_over_at = world.now
+    return world
+
+
+@pytest.mark.parametrize("node_count", [1, 3])
+def test_gang_waiting_for_machines_with_services_stops_no_arrays(node_count: int) -> None:
+    # Guards against a gang that keeps arrays from machines which it can't get: review/6.
+    world = world_of_services(node_count, 9)
+    gang = {"shape": "ensemble", "rank": "urgent", "hands": 2, "vcpus": 4.0, "memoryGb": 2.0}
+    world.submit("n0", job_submission(2, **gang))
+    world.run(1)
+    submitted_at = world.now
+    world.submit("n0", job_submission(3, outfit="green", hands=4, vcpus=2.0, memoryGb=2.0))
+    # No room is kept at all, as no machine will have any for the gang.
+    world.run_until(lambda: world.running_task_count("run-000003") == 4, 15)
+    assert world.now - submitted_at < 15
+
+
+def test_gang_that_shares_machines_with_services_reserves_no_room_for_good() -> None:
+    # Guards against room that is reserved for a gang which would fit only without the services.
+    world = world_of_services(1, 3)
+    gang = {"shape": "ensemble", "rank": "urgent", "hands": 5, "vcpus": 2.0, "memoryGb": 1.0}
+    world.submit("n0", job_submission(2, **gang))
+    world.run(60)
+    world.submit("n0", job_submission(3, outfit="green", hands=1, vcpus=2.0, memoryGb=2.0))
+    world.run_until(lambda: "run-000003/0" in world.completed_tasks, WAITING_LIMIT_S)
+
+
+def test_room_lease_runs_out_and_begins_anew() -> None:
+    # Guards against room that is kept without end, and against a lease renewed at once.
+    leases = RoomLeases()
+    step_s = 1.0
+    kept = [leases.may_keep(n * step_s, "vm") for n in range(200)]
+    assert kept.index(False) * step_s == ROOM_LEASE_S
+    assert kept.index(True, kept.index(False)) * step_s == ROOM_LEASE_S + ROOM_OPEN_S
+    assert ROOM_LEASE_S < WAITING_LIMIT_S
+
+
+def test_room_lease_counts_from_the_first_request_whoever_keeps_the_room() -> None:
+    # Guards against jobs that take turns in keeping room: a short break does not renew a lease.
+    leases = RoomLeases()
+    break_s = ROOM_OPEN_S - 1.0
+    assert all(leases.may_keep(n * break_s, "vm") for n in range(int(ROOM_LEASE_S / break_s) + 1))
+    assert not leases.may_keep(ROOM_LEASE_S, "vm")
+    assert leases.may_keep(ROOM_LEASE_S + ROOM_OPEN_S, "vm")
+
+
+def test_room_lease_of_room_that_was_not_kept_begins_anew() -> None:
+    # Guards against leases of old that let a machine be kept for a moment only.
+    leases = RoomLeases()
+    assert leases.may_keep(0.0, "vm")
+    assert leases.may_keep(ROOM_LEASE_S - 1.0, "vm")
+    later_s = 2 * ROOM_LEASE_S
+    assert leases.may_keep(later_s, "vm") and leases.may_keep(later_s + 1.0, "vm")
