Machines are rented for gangs whose shard is full of services

Cause: `Provisioner._gang_home_shards` counted each machine that is up in the gang's home shard as free unless a gang's claim covers it, so machines that hold services were room for gangs for good.

Change: of the provisioner's own shards a machine counts only if a task of the gang will fit beside the services on it. Of other shards the records tell how many replicas are claimed there, not where they are: for a gang that has waited for longer than a boot takes, as many machines are left out as the service with most replicas there has, since replicas of one service are spread over machines.

Evidence: test_machines_are_rented_for_gang_beside_services (one and three controllers) failed before with "the condition did not hold in time" (60 s).

--- a/sagecove/coordination/provisioner.py
+++ b/sagecove/coordination/provisioner.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from sagecove.coordination.claims.gang_waits import gang_long_wait_s
+from sagecove.coordination.claims.lasting_room import tasks_fitting_after_others
 from sagecove.coordination.model import JobRun, Machine, precedence
 from sagecove.coordination.placement import (
     hourly_price,
@@ -517,16 +519,35 @@
             for name in sorted(suitable)[: max(0, claimed)]:
                 free[home_shard].discard(name)
         waiting = [j for j in jobs if j.id in home_shards and j.unclaimed]
-        for names in free.values():
+        long_wait_s = gang_long_wait_s(owner.machine_types.values())
+        recent = [j for j in waiting if owner.now - j.first_seen_at < long_wait_s]
+        for shard, names in free.items():
+            in_use = self._machines_with_services(shard)
             for name in sorted(names):
                 machine = owner.machines[name]
-                if any(machine_allowed(j.spec, machine) for j in waiting):
+                # What looked free to a gang that has waited for so long was not.
+                gangs = recent if name in in_use else waiting
+                if any(tasks_fitting_after_others(j, machine) for j in gangs):
                     room = ExpectedMachine.from_machine(machine)
                     # For gangs only, because other work may have taken part of the room.
                     room.gangs_only = True
                     expected.add(room)
         return home_shards
 
+    def _machines_with_services(self, shard: str) -> set[str]:
+        """Return as many machines of another controller's shard as hold services at least: their
+        holder alone knows which, but the replicas of one service are spread over machines."""
+        owner = self.owner
+        if shard in owner.held_shards:
+            return set()  # The tasks of these machines are known here.
+        machines = owner.shards.shard_machines(shard)
+        in_use: set[str] = set()
+        for job in owner.backlog.active.values():
+            if job.service and (replica_count := job.claimed(shard).bit_count()) > len(in_use):
+                usable = sorted(m.name for m in machines if machine_allowed(job.spec, m))
+                in_use = max(in_use, set(usable[:replica_count]), key=len)
+        return in_use
+
     def _tasks_without_room(self, job: JobRun, now: float) -> list[tuple[str | None, int]]:
         """Return (shard, count) of unclaimed tasks, and of claimed tasks whose shard lacks room."""
         out: list[tuple[str | None, int]] = []
--- a/tests/test_kept_room.py
+++ b/tests/test_kept_room.py
@@ -51,6 +51,24 @@
     assert world.now - submitted_at < 15
 
 
+@pytest.mark.parametrize("node_count", [1, 3])
+def test_machines_are_rented_for_gang_beside_services(node_count: int) -> None:
+    # Guards against machines with services that count as room for a gang of whole machines.
+    world = world_of_services(node_count, 9)
+    world.cloud.capacity = {"small": 20, "gpu": 0}
+    gang: dict[str, Any] = {
+        "shape": "ensemble",
+        "rank": "urgent",
+        "hands": 2,
+        "vcpus": 4.0,
+        "memoryGb": 2.0,
+    }
+    # Only there it takes most of any machine, so that it is served by one shard.
+    gang["breeds"] = ["small"]
+    world.submit("n0", job_submission(2, **gang))
+    world.run_until(lambda: world.running_task_count("run-000002") == 2, 60)
+
+
 def test_gang_that_shares_machines_with_services_reserves_no_room_for_good() -> None:
     # Guards against room that is reserved for a gang which would fit only without the services.
     world = world_of_services(1, 3)
