A team's limit is held back under a lease, and nothing is stopped for it in vain

Change: `Preemptor.cap` holds limits back under a lease by team; tasks are stopped for a limit only if the fleet can hold the job, and only until it has waited for one lease.

--- a/sagecove/coordination/claims/pass_state.py
+++ b/sagecove/coordination/claims/pass_state.py
@@ -32,8 +32,9 @@
         self.packing = False
         # Machines with room for the smallest array task of the pass; None: not computed.
         self.array_candidates: list[Machine] | None = None
-        # Bounds of keeping room from jobs that wait, by machine.
+        # Bounds of keeping room from jobs that wait, by machine and by team (of its limit).
         self.machine_leases = RoomLeases()
+        self.limit_leases = RoomLeases()
         # By machine: the gang that its room is withheld from arrays for.
         self.withheld: dict[str, JobRun] = {}
         # By team: CPUs and GPUs needed by jobs that wait to be claimed as a whole.
--- a/sagecove/coordination/claims/preemptor.py
+++ b/sagecove/coordination/claims/preemptor.py
@@ -7,6 +7,7 @@
 from sagecove.coordination.claims.candidates import Candidate, find_candidates
 from sagecove.coordination.claims.gang_waits import GangWaits
 from sagecove.coordination.claims.pass_state import PassState
+from sagecove.coordination.claims.room_leases import ROOM_LEASE_S
 from sagecove.coordination.interfaces import MachineCommands, OwnerContext
 from sagecove.coordination.ledger import Ledger
 from sagecove.coordination.limits.team_limits import TeamLimits
@@ -57,15 +58,19 @@
         stop the team's tasks of lower priority if the limit has too little left.
 
         Each shard's holder stops its part of what lacks; the claims of stopped tasks are released.
+        Nothing is stopped for a job that the fleet can't hold, or that has not begun with the limit
+        that was freed: the stopped tasks would begin again and be stopped again.
         """
         spec = job.spec
         held = self.add_held_back(job, job.unclaimed.bit_count())
         if job.gang and self.waits.waits_long(now, job):
             _add_resources(self.state.held_back_long_by_team, job, job.unclaimed.bit_count())
+        waited_s = now - job.first_seen_at
         if (
             not self.state.preemption_due
-            or now - job.first_seen_at < 2 * self.state.poll_s / 3
+            or not 2 * self.state.poll_s / 3 <= waited_s < ROOM_LEASE_S
             or now < job.trim_after
+            or not self.waits.shards.fleet_can_hold(job)
         ):
             return
         spare = self.limits.unclaimed(spec.team)
@@ -140,6 +145,15 @@
         held = table.get(job.spec.team)
         if held is None:
             return wanted
+        capped = self._cap_beside(held, job, wanted, claimed)
+        if capped < wanted and not self.state.limit_leases.may_keep(
+            self.context.now, job.spec.team
+        ):
+            return wanted
+        return capped
+
+    def _cap_beside(self, held: list[float], job: JobRun, wanted: int, claimed: bool) -> int:
+        """Cap the tasks of a job at what its team's limit has left beside held back amounts."""
         left = self.limits.unclaimed(job.spec.team)
         for resource, each in enumerate((job.spec.cpus, job.spec.gpus)):
             if each <= 0 or held[resource] <= 0:
--- a/tests/test_kept_room.py
+++ b/tests/test_kept_room.py
@@ -79,6 +79,16 @@
     world.run_until(lambda: "run-000003/0" in world.completed_tasks, WAITING_LIMIT_S)
 
 
+def test_gang_without_machines_holds_back_no_limit_for_good() -> None:
+    # Guards against a gang that the fleet can't hold and that holds back its team's limit.
+    world = world_of_services(1, 3, vcpus=0.5, memoryGb=9.0)
+    gang = {"shape": "ensemble", "rank": "urgent", "hands": 4, "vcpus": 4.0, "memoryGb": 2.0}
+    world.submit("n0", job_submission(2, outfit="green", **gang))
+    world.run(20)
+    world.submit("n0", job_submission(3, outfit="green", hands=1, vcpus=2.0, memoryGb=2.0))
+    world.run_until(lambda: "run-000003/0" in world.completed_tasks, WAITING_LIMIT_S)
+
+
 def test_room_lease_runs_out_and_begins_anew() -> None:
     # Guards against room that is kept without end, and against a lease renewed at once.
     leases = RoomLeases()
