Room freed by preemption goes to the array it was freed for

Cause: an array within its team's guarantee preempts a gang beyond one, and a third job, a gang that waits, has the freed room withheld from the array. Preempting and withholding asked different questions.

Change: both ask `withheld_for`. No machine is withheld from an array that may preempt the gang, as it would take the room back; on machines that are withheld from an array nothing is preempted for it; and no machine is withheld on which room is reserved for an array.

Evidence: test_room_freed_for_an_array_goes_to_that_array (one and three controllers) fails before with "the condition did not hold in time".

--- a/sagecove/coordination/claims/pass_state.py
+++ b/sagecove/coordination/claims/pass_state.py
@@ -8,7 +8,7 @@
 from sagecove.coordination.interfaces import OwnerContext
 from sagecove.coordination.ledger import Ledger
 from sagecove.coordination.model import JobRun, Machine
-from sagecove.coordination.placement import NoRoomCache, RoomByMachine
+from sagecove.coordination.placement import NoRoomCache, RoomByMachine, withheld_for
 from sagecove.coordination.preemption_policy import (
     PreemptionPolicy,
     largest_victim_cpus,
@@ -130,5 +130,11 @@
         """Return the given machines and those with reclaimable room for a job, sorted by name."""
         names = {m.name for m in machines} | self.reclaimable_room(job).keys()
         if job.array:
-            names = {n for n in names if self.context.now >= self.context.machines[n].drain_until}
+            # Nothing is preempted for an array on machines that it then may not use.
+            names = {
+                name
+                for name in names
+                if self.context.now >= self.context.machines[name].drain_until
+                and withheld_for(job, name, self.withheld) is None
+            }
         return [self.context.machines[name] for name in sorted(names)]
--- a/sagecove/coordination/claims/withheld_machines.py
+++ b/sagecove/coordination/claims/withheld_machines.py
@@ -38,12 +38,17 @@
         waiting gang that its team's limit allows, as many machines are withheld as it needs, those
         with most room first, and only such that will have room for a task of it."""
         out: dict[str, JobRun] = {}
+        # Room that was freed for an array goes to that array.
+        reserved = {name for job in jobs if job.array for name in job.reserved}
         by_room: list[Machine] | None = None
         for job in jobs:
             if not self._gathers_machines(now, shard, job):
                 continue
             if by_room is None:
-                by_room = sorted(machines, key=lambda m: (-m.free_room()[0], m.name))
+                by_room = sorted(
+                    (m for m in machines if m.name not in reserved),
+                    key=lambda m: (-m.free_room()[0], m.name),
+                )
             missing = self._tasks_to_gather(shard, job)
             for machine in by_room:
                 if missing <= 0:
--- a/sagecove/coordination/placement.py
+++ b/sagecove/coordination/placement.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from sagecove.coordination.model import ROOM_EPSILON, JobRun, Machine
+from sagecove.coordination.preemption_policy import may_preempt
 from sagecove.protocol.cloud import MachineType
 from sagecove.protocol.users import Job
 
@@ -199,6 +200,13 @@
     return counts
 
 
+def withheld_for(job: JobRun, name: str, withheld: dict[str, JobRun]) -> JobRun | None:
+    """Return the gang that a machine is withheld for from a job: none from gangs and services, nor
+    from an array that may preempt the gang and would take the room back."""
+    gang = withheld.get(name) if job.array else None
+    return None if gang is None or may_preempt(job, gang) else gang
+
+
 def _room_beside_large_task(
     machine: Machine, large: Job, room: tuple[float, float, float]
 ) -> tuple[float, float, float]:
@@ -235,8 +243,8 @@
     usable: list[tuple[Machine, int]] = []
     for machine in machines:
         room = unpromised_room(machine, promised)
-        if withheld and job.array and machine.name in withheld:
-            room = _room_beside_large_task(machine, withheld[machine.name].spec, room)
+        if withheld and (gang := withheld_for(job, machine.name, withheld)) is not None:
+            room = _room_beside_large_task(machine, gang.spec, room)
         count = tasks_fitting(spec, room)
         if count > 0 and machine.accepts_tasks and machine_suits(job, machine):
             usable.append((machine, count))
--- a/tests/test_kept_room.py
+++ b/tests/test_kept_room.py
@@ -16,6 +16,10 @@
     {"name": "red", "cpus": 0.0, "cpus_max": 64.0, "gpus": 0, "gpus_max": 0},
     {"name": "green", "cpus": 0.0, "cpus_max": 16.0, "gpus": 0, "gpus_max": 0},
 ]
+GUARANTEED_TEAMS: list[dict[str, Any]] = [
+    {"name": "red", "cpus": 0.0, "cpus_max": 32.0, "gpus": 0, "gpus_max": 0},
+    {"name": "green", "cpus": 8.0, "cpus_max": 12.0, "gpus": 0, "gpus_max": 0},
+]
 # A replica that leaves 3 of a small machine's 4 CPUs and 4 of its 16 GB, so that each has one.
 REPLICAS: dict[str, Any] = {"shape": "service", "rank": "production", "vcpus": 1.0}
 REPLICA_MEMORY_GB = 12.0
@@ -89,6 +93,33 @@
     world.run_until(lambda: "run-000003/0" in world.completed_tasks, WAITING_LIMIT_S)
 
 
+@pytest.mark.parametrize("node_count", [1, 3])
+def test_room_freed_for_an_array_goes_to_that_array(node_count: int) -> None:
+    # Guards against an array that preempts a gang, whose room is then withheld from it for another
+    # gang: review/4. Each gang was started and stopped again, and nothing was completed.
+    world = World(node_count, teams=GUARANTEED_TEAMS)
+    world.cloud.capacity = {"small": 3, "gpu": 0}
+    for number in range(3):
+        world.cloud.start_machine("small", "ab"[number % 2], False)
+    world.run(6)
+    world.poll_jobs()
+    world.faults_over_at = world.now
+    for worker in world.workers.values():
+        worker.task_run_s = None
+    gang = {"shape": "ensemble", "rank": "urgent", "hands": 2, "vcpus": 3.0}
+    array = {"rank": "urgent", "vcpus": 4.0}
+    low = {"rank": "low", "outfit": "green", "vcpus": 2.0}
+    history = [(gang, 4.0), (array, 0.5), (gang, 0.5), (array, 4.0), (array, 0.5)]
+    history += [(gang, 4.0), (gang, 4.0), (low, 4.0), (low, 4.0), (low, 4.0)]
+    for number, (fields, run_s) in enumerate(history, 1):
+        fields = {"memoryGb": 2.0, "sizeGb": 0.0, "reckonS": run_s, **fields}
+        world.submit("n0", job_submission(number, **fields))
+        world.run(0.3)
+    tasks = {f"{job}/{n}" for job, spec in world.specs.items() for n in range(spec["hands"])}
+    # No lease has run out by then: some 55 CPU seconds of work on 12 CPUs.
+    world.run_until(lambda: tasks <= world.completed_tasks, ROOM_LEASE_S)
+
+
 def test_room_lease_runs_out_and_begins_anew() -> None:
     # Guards against room that is kept without end, and against a lease renewed at once.
     leases = RoomLeases()
