No tasks are stopped for a limit that they take straight back

What callers saw (found by random histories of gangs and arrays, without a fault): one team's array tasks are stopped every few seconds for two of its gangs, start again at once, and neither they nor the gangs are completed; eight of nine machines stay empty.

Cause: `Preemptor.hold_back_for` stops tasks of lower priority, but an array within the team's guarantee comes before a gang beyond it, whatever its priority, and claims the freed limit again in the next pass.

Change: only tasks of jobs that come after the job are stopped, as `may_preempt` has it for room.

Evidence: test_limit_freed_by_stops_is_not_taken_straight_back failed before.

--- a/sagecove/coordination/claims/preemptor.py
+++ b/sagecove/coordination/claims/preemptor.py
@@ -83,6 +83,8 @@
             placement
             for other in self.ledger.jobs_with_tasks(shard.name)
             if other.array and other.spec.team == spec.team and other.priority < job.priority
+            # A victim that comes before the job would take the limit straight back.
+            if fixed_precedence(job) < fixed_precedence(other)
             if (lack[0] > ROOM_EPSILON and other.spec.cpus)
             or (lack[1] > ROOM_EPSILON and other.spec.gpus)
             for placement in other.placed.values()
--- a/tests/test_kept_room.py
+++ b/tests/test_kept_room.py
@@ -120,6 +120,28 @@
     world.run_until(lambda: tasks <= world.completed_tasks, ROOM_LEASE_S)
 
 
+def test_limit_freed_by_stops_is_not_taken_straight_back() -> None:
+    # Guards against a gang that stops tasks of its team which come before it, again and again.
+    world = World(1, teams=GUARANTEED_TEAMS)
+    world.cloud.capacity = {"small": 6, "gpu": 0}
+    for number in range(6):
+        world.cloud.start_machine("small", "ab"[number % 2], False)
+    world.run(6)
+    for worker in world.workers.values():
+        worker.task_run_s = None
+    # Within the guarantee of 8 CPUs; beyond it, as it takes the whole limit of 12 CPUs.
+    array = {"outfit": "green", "rank": "low", "hands": 4, "vcpus": 2.0, "reckonS": 20.0}
+    gang = {"outfit": "green", "shape": "ensemble", "rank": "normal", "hands": 3, "vcpus": 4.0}
+    world.submit("n0", job_submission(1, **array))
+    world.run_until(lambda: world.running_task_count("run-000001") == 4, 10)
+    world.submit("n0", job_submission(2, reckonS=1.0, **gang))
+    world.run(50)
+    assert {f"run-000001/{n}" for n in range(4)} <= world.completed_tasks
+    starts = [task for _, task, _ in world.task_starts if task.startswith("run-000001/")]
+    assert len(starts) == 4
+    assert {f"run-000002/{n}" for n in range(3)} <= world.completed_tasks
+
+
 def test_room_lease_runs_out_and_begins_anew() -> None:
     # Guards against room that is kept without end, and against a lease renewed at once.
     leases = RoomLeases()
