--- a/sagecove/coordination/backlog.py
+++ b/sagecove/coordination/backlog.py
@@ -29,6 +29,7 @@
     return bool(
         job.array
         and not job.claimed_whole
+        and not job.one_claimant
         and not job.claims
         and not job.placed
         and not job.finished_unrecorded
--- a/sagecove/coordination/claims/candidates.py
+++ b/sagecove/coordination/claims/candidates.py
@@ -8,11 +8,11 @@
 from sagecove.coordination.placement import (
     RoomByMachine,
     machine_suits,
-    tasks_by_zone,
     tasks_fitting,
     unpromised_room,
 )
 from sagecove.coordination.preemption_policy import PreemptionPolicy, may_preempt, task_resources
+from sagecove.coordination.zone_rules import tasks_by_zone, tasks_per_zone_limit
 
 
 class Candidate(NamedTuple):
@@ -69,7 +69,7 @@
             continue
         if spec.one_zone and zone_counts and machine.record.zone not in zone_counts:
             continue
-        if spec.spread and zone_counts.get(machine.record.zone, 0) >= (spec.tasks + 1) // 2:
+        if zone_counts.get(machine.record.zone, 0) >= tasks_per_zone_limit(spec):
             continue
         room = unpromised_room(machine, promised)
         victims: list[Placement] = []
--- a/sagecove/coordination/claims/claimer.py
+++ b/sagecove/coordination/claims/claimer.py
@@ -137,6 +137,8 @@
         bits = job.unclaimed
         if not bits or (job.claimed_whole and bits != job.all_tasks & ~job.finished):
             return
+        if not job.may_be_claimed_by(shard.name):
+            return
         if job.array and self._skip_contended_job(job):
             return
         wanted = bits.bit_count()
@@ -235,6 +237,8 @@
         )
         if found < most:
             found += self.preemptor.count_fitting_by_preemption(job, most - found, promised)
+        if job.service and job.claimed_whole and found:
+            found = wanted  # it starts with the room there is, but is claimed at once
         if found > allowed and (found >= wanted or not job.claimed_whole):
             self.limits.request_share(now, shard, job, found)
 
--- a/sagecove/coordination/claims/preemptor.py
+++ b/sagecove/coordination/claims/preemptor.py
@@ -27,6 +27,7 @@
     unpromised_room,
 )
 from sagecove.coordination.preemption_policy import PreemptionPolicy, task_resources
+from sagecove.coordination.zone_rules import tasks_allowed_by_zone
 
 
 class Preemptor:
@@ -258,7 +259,8 @@
         rights = self.policy.rights_key(job)
         if self.state.no_room_by_preemption.covers(job, rights) or not self.state.can_preempt(job):
             return 0
-        zones: dict[str, int] = {}
+        zone_rule = spec.one_zone or spec.spread
+        fitting_by_zone: dict[str, int] = {}
         count -= self.state.ending_soon_count(job)
         if count <= 0:
             return 0
@@ -283,9 +285,10 @@
                 # One claim of an array takes all that a machine can give; otherwise nine
                 # controllers compete for the job's record many times over.
                 more_here = min(fitting, count) if job.array or job.gang else 1
-                zone = machine.record.zone if spec.one_zone else ""
-                zones[zone] = zones.get(zone, 0) + more_here
-                satisfied_count = min(max(zones.values()), count)
+                zone = machine.record.zone if zone_rule else ""
+                fitting_by_zone[zone] = fitting_by_zone.get(zone, 0) + more_here
+                allowed = tasks_allowed_by_zone(job, fitting_by_zone)
+                satisfied_count = min(sum(allowed.values()), count)
         if not satisfied_count:
             self.state.no_room_by_preemption.add(job, rights)
         return max(0, satisfied_count - ceil(self.state.unplaced_claim_cpus / max(spec.cpus, 0.1)))
--- a/sagecove/coordination/explain.py
+++ b/sagecove/coordination/explain.py
@@ -181,6 +181,8 @@
     spec = job.spec
     reasons = []
     count = job.unclaimed.bit_count()
+    if job.one_claimant and job.claims:
+        reasons.append(f"{count} tasks wait for shard {next(iter(job.claims))}, which places all")
     need = count if job.claimed_whole else 1
     unclaimed_room = owner.limits.unclaimed(spec.team)
     if need * spec.cpus > unclaimed_room[0] or need * spec.gpus > unclaimed_room[1]:
--- a/sagecove/coordination/model.py
+++ b/sagecove/coordination/model.py
@@ -96,6 +96,7 @@
         "unclaimed",
         "wait_logged_at",
         "claimed_whole",
+        "one_claimant",
         "cancelled_elsewhere",
         "within_guarantee",
     )
@@ -109,8 +110,13 @@
         kind = self.spec.kind
         # Plain attributes, because a scheduling pass reads them for every job.
         self.array, self.gang, self.service = kind == ARRAY, kind == GANG, kind == SERVICE
-        # One shard claims all tasks, so that one controller applies the rules that span tasks.
-        self.claimed_whole = self.gang or self.spec.one_zone or self.spec.spread
+        # All tasks are claimed at once, or none.
+        zone_rule = self.spec.one_zone or self.spec.spread
+        self.claimed_whole = self.gang or (self.service and zone_rule)
+        # Claimed in parts, but by one shard at a time: until its claims are completed or released,
+        # no other shard has any. So one controller applies the rules that span tasks, and knows the
+        # zones of all tasks that may be on a machine.
+        self.one_claimant = self.array and zone_rule
         self.within_guarantee = False
         # A peer reported that the job is cancelled, see `Cancellations`.
         self.cancelled_elsewhere = False
@@ -195,11 +201,15 @@
         """Return the shard's claimed tasks that are provably on no machine and may be started."""
         if self.cancelled_elsewhere:
             return 0
-        if self.claimed_whole and self.possibly_running.get(shard):
+        if (self.claimed_whole or self.one_claimant) and self.possibly_running.get(shard):
             return 0
         bits = self.claimed(shard) & ~self.placed_bits & ~self.releasing
         return bits & ~self.possibly_running.get(shard, 0)
 
+    def may_be_claimed_by(self, shard: str) -> bool:
+        """Return whether the job's rules on zones let a shard claim tasks of it now."""
+        return not self.one_claimant or all(claimant == shard for claimant in self.claims)
+
     def add_placement(self, placement: Placement) -> None:
         """Add a task that is, or may be, on a machine."""
         self.placed[placement.index] = placement
--- a/sagecove/coordination/placement.py
+++ b/sagecove/coordination/placement.py
@@ -11,6 +11,11 @@
 
 from sagecove.coordination.model import ROOM_EPSILON, JobRun, Machine
 from sagecove.coordination.preemption_policy import may_preempt
+from sagecove.coordination.zone_rules import (
+    tasks_allowed_by_zone,
+    tasks_by_zone,
+    tasks_per_zone_limit,
+)
 from sagecove.protocol.cloud import MachineType
 from sagecove.protocol.users import Job
 
@@ -132,18 +137,31 @@
 ) -> int:
     """Count tasks of a job, up to `most`, that fit machines beside what is promised and what was
     counted for others before in `requested`, and add them to that."""
-    found = 0
     spec = job.spec
+    rooms: list[tuple[Machine, int]] = []
+    fitting_by_zone: dict[str, int] = {}
+    counted = 0
     for machine in machines:
-        if found >= most:
+        if counted >= most and not spec.one_zone and not spec.spread:
             break
         if not machine_suits(job, machine):
             continue
         room = unpromised_room(machine, promised)
         if taken := requested.get(machine.name):
             room = room[0] - taken[0], room[1] - taken[1], room[2] - taken[2]
-        if count := min(tasks_fitting(spec, room), most - found):
+        if fitting := min(tasks_fitting(spec, room), most):
+            zone = machine.record.zone
+            rooms.append((machine, fitting))
+            fitting_by_zone[zone] = fitting_by_zone.get(zone, 0) + fitting
+            counted += fitting
+    left_by_zone = dict(tasks_allowed_by_zone(job, fitting_by_zone))
+    found = 0
+    for machine, fitting in rooms:
+        zone = machine.record.zone
+        count = min(fitting, most - found, left_by_zone.get(zone, 0))
+        if count > 0:
             add_promised(requested, machine.name, spec, count)
+            left_by_zone[zone] -= count
             found += count
     return found
 
@@ -190,16 +208,6 @@
     return 3 if machine.fetching else 2
 
 
-def tasks_by_zone(job: JobRun) -> dict[str, int]:
-    """Count a job's tasks by zone, including those that are stopping."""
-    counts: dict[str, int] = {}
-    for placement in job.placed.values():
-        if placement.takes_room:
-            zone = placement.machine.record.zone
-            counts[zone] = counts.get(zone, 0) + 1
-    return counts
-
-
 def withheld_for(job: JobRun, name: str, withheld: dict[str, JobRun]) -> JobRun | None:
     """Return the gang that a machine is withheld for from a job: none from gangs and services, nor
     from an array that may preempt the gang and would take the room back."""
@@ -272,7 +280,7 @@
         usable = [(m, c) for m, c in usable if m.record.zone in zones]
     if job.gang and sum(c for _, c in usable) < len(indexes):
         return []
-    zone_cap = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
+    zone_cap = tasks_per_zone_limit(spec)
     capacity = {machine.name: count for machine, count in usable}
     ranked = sorted(((machine_rank(job, m), m) for m, _ in usable), key=lambda pair: pair[0])
     if job.array and not spec.spread:
--- a/sagecove/coordination/provisioner.py
+++ b/sagecove/coordination/provisioner.py
@@ -18,10 +18,10 @@
     hourly_price,
     machine_allowed,
     price_class,
-    tasks_by_zone,
     tasks_fitting,
     type_allowed,
 )
+from sagecove.coordination.zone_rules import tasks_by_zone, tasks_per_zone_limit
 from sagecove.protocol import cloud as cloud_protocol
 from sagecove.protocol import state as wire
 from sagecove.protocol.cloud import MachineType
@@ -136,7 +136,7 @@
         """Reserve room for tasks, in `required_zone` if given; return for how many it was found.
         `zones` counts the job's tasks by zone and is updated."""
         placed = 0
-        zone_limit = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
+        zone_limit = tasks_per_zone_limit(spec)
         for (_, zone, spot, shard_name, gangs_only), group in self.groups.items():
             if (
                 not group
@@ -572,7 +572,7 @@
         class; return how many tasks found none."""
         spec = job.spec
         zones = tasks_by_zone(job)
-        zone_limit = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
+        zone_limit = tasks_per_zone_limit(spec)
         # Rentals for a gang that must be in one zone go to the zone of its other tasks: a
         # replacement in another zone is useless to it.
         required_zone = None
@@ -656,6 +656,8 @@
                 needed_kinds.add(min(fitting, key=lambda t: t.price).name)
             if not unclaimed or now - job.first_seen_at < 0.4:
                 continue
+            # Another shard may claim none of its tasks meanwhile.
+            claimant = next(iter(job.claims), None) if job.one_claimant else None
             # Cheap machines are rented for all work that would otherwise still wait once they are
             # up; expensive ones only for work that would be late.
             boot_s = max((t.boot_s for t in fitting if self._is_cheap(t)), default=0.0)
@@ -667,14 +669,16 @@
                 if (count := int(missing_cpus / task_cpus + 0.5)) > 0:
                     available_cpus += task_cpus * (
                         count
-                        - self._place_or_rent(job, count, None, expected, rentals_needed, now, 1)
+                        - self._place_or_rent(
+                            job, count, claimant, expected, rentals_needed, now, 1
+                        )
                     )
             missing_cpus = min(work_cpu_s / time_left_s - available_cpus, unclaimed * task_cpus)
             count = int(missing_cpus / task_cpus + 0.5)
             if count <= 0 and not any(machine_allowed(job.spec, m) for m in usable):
                 count = 1
             if count > 0:
-                self._place_or_rent(job, count, None, expected, rentals_needed, now)
+                self._place_or_rent(job, count, claimant, expected, rentals_needed, now)
                 available_cpus += count * task_cpus
         self.machines_to_drain = (
             []
