Machines are counted for the arrays that may use them, when renting and draining

Cause: `Provisioner._rent_for_arrays` added the CPUs of all machines into one sum for all arrays. The spot machines counted as room for the array, so hardly anything was rented, and the ordinary machines, which cost more, were named as surplus and drained: their holders let no array on them.

Change: `ArraySupply` has an account for each set of kinds of machines (type, zone, spot or not) that an array is bound to, and one for all. Work counts in each account that has all of its machines, the claims of services and gangs in proportion to where they may be. Rented is what the scarcest account lacks, and a machine is drained only if no account with it needs it. Draining keeps arrays away under the lease of the machine, as a service may stay there. `ExpectedFleet` is a module of its own now.

Evidence: test_machines_that_alone_an_array_may_use_are_not_drained (one and three controllers) and test_draining_does_not_keep_arrays_away_for_good failed before.

--- a/sagecove/coordination/claims/pass_state.py
+++ b/sagecove/coordination/claims/pass_state.py
@@ -126,6 +126,12 @@
         self.reclaimable_by_rights[key] = found, ending_cpus
         return found, ending_cpus
 
+    def open_to_arrays(self, machine: Machine) -> bool:
+        """Return whether arrays may use a machine: not while it is drained, so that it can be
+        returned, but what runs there may be there to stay, so this is under a lease too."""
+        now = self.context.now
+        return now >= machine.drain_until or not self.machine_leases.may_keep(now, machine.name)
+
     def candidate_machines(self, job: JobRun, machines: list[Machine]) -> list[Machine]:
         """Return the given machines and those with reclaimable room for a job, sorted by name."""
         names = {m.name for m in machines} | self.reclaimable_room(job).keys()
@@ -134,7 +140,7 @@
             names = {
                 name
                 for name in names
-                if self.context.now >= self.context.machines[name].drain_until
+                if self.open_to_arrays(self.context.machines[name])
                 and withheld_for(job, name, self.withheld) is None
             }
         return [self.context.machines[name] for name in sorted(names)]
--- a/sagecove/coordination/claims/scheduling_pass.py
+++ b/sagecove/coordination/claims/scheduling_pass.py
@@ -138,8 +138,7 @@
             promised: RoomByMachine = {}
             # Full machines are left out; preemption finds them by their tasks.
             machines_with_room = self.ledger.machines_with_room(shard.name)
-            # Machines that are to be returned take no more array tasks.
-            array_machines = [m for m in machines_with_room if now >= m.drain_until]
+            array_machines = [m for m in machines_with_room if self.pass_state.open_to_arrays(m)]
             self.pass_state.no_room = NoRoomCache()
             self.pass_state.no_room_by_preemption = NoRoomCache()
             if self.pass_state.preemption_due:
--- a/sagecove/coordination/provisioner.py
+++ b/sagecove/coordination/provisioner.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
-import dataclasses
 import logging
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from sagecove.coordination.array_supply import ArraySupply, MachineKind, SupplyAccount, kind_of
 from sagecove.coordination.claims.gang_waits import gang_long_wait_s
 from sagecove.coordination.claims.lasting_room import tasks_fitting_after_others
+from sagecove.coordination.expected_fleet import ExpectedFleet, ExpectedMachine
 from sagecove.coordination.model import JobRun, Machine, precedence
 from sagecove.coordination.placement import (
     hourly_price,
@@ -25,7 +26,7 @@
 from sagecove.protocol import cloud as cloud_protocol
 from sagecove.protocol import state as wire
 from sagecove.protocol.cloud import MachineType
-from sagecove.protocol.users import GANG, Job
+from sagecove.protocol.users import Job
 from sagecove.storage.budget import TokenBucket
 from sagecove.storage.records import (
     HOLDER_PREFIX,
@@ -56,119 +57,6 @@
 ARRAY_PRICE_MAX_RATIO = 20.0
 
 
-@dataclasses.dataclass(slots=True)
-class ExpectedMachine:
-    """A machine that has not reported yet or is about to be rented, and the room planned on it."""
-
-    machine_type: MachineType
-    zone: str
-    spot: bool
-    shard: str
-    cpus: float = 0.0
-    gpus: float = 0.0
-    memory_gb: float = 0.0
-    # The machine is up already, and its room counts for gangs only.
-    gangs_only: bool = False
-
-    @classmethod
-    def from_machine(cls, machine: Machine) -> ExpectedMachine:
-        """Create the entry of a machine that has a record."""
-        assert machine.machine_type is not None
-        record = machine.record
-        return cls(machine.machine_type, record.zone, record.spot, record.shard)
-
-    def room_for(self, spec: Job) -> int:
-        """Return how many more tasks fit."""
-        kind = self.machine_type
-        return tasks_fitting(
-            spec, (kind.cpus - self.cpus, kind.gpus - self.gpus, kind.memory_gb - self.memory_gb)
-        )
-
-    def count_tasks(self, spec: Job, count: int) -> None:
-        """Reserve room for tasks."""
-        self.cpus += count * spec.cpus
-        self.gpus += count * spec.gpus
-        self.memory_gb += count * spec.memory_gb
-
-
-class ExpectedFleet:
-    """Expected machines, grouped by type, place and price model: a job checks each group once."""
-
-    def __init__(self, smallest_task_cpus: float) -> None:
-        # Machines with fewer free CPUs than the smallest task takes are not searched.
-        self.smallest_task_cpus = smallest_task_cpus
-        self.groups: dict[tuple[str, str, bool, str, bool], list[ExpectedMachine]] = {}
-
-    def add(self, machine: ExpectedMachine) -> None:
-        """Add a machine."""
-        key = (
-            machine.machine_type.name,
-            machine.zone,
-            machine.spot,
-            machine.shard,
-            machine.gangs_only,
-        )
-        self.groups.setdefault(key, []).append(machine)
-
-    def zone_with_most(self, spec: Job, shard: str | None) -> str | None:
-        """Return the zone with the most expected room for a one-zone job, if there is any."""
-        room: dict[str, int] = {}
-        for (_, zone, spot, shard_name, gangs_only), group in self.groups.items():
-            if (
-                group
-                and (spec.kind == GANG or not gangs_only)
-                and (shard is None or shard_name in ("", shard))
-                and (spec.spot or not spot)
-                and type_allowed(spec, group[0].machine_type)
-            ):
-                room[zone] = room.get(zone, 0) + sum(m.room_for(spec) for m in group)
-        most = max(room, key=lambda zone: room[zone], default=None)
-        return most if most is not None and room[most] else None
-
-    def place(
-        self,
-        spec: Job,
-        count: int,
-        shard: str | None,
-        zones: dict[str, int],
-        required_zone: str | None = None,
-    ) -> int:
-        """Reserve room for tasks, in `required_zone` if given; return for how many it was found.
-        `zones` counts the job's tasks by zone and is updated."""
-        placed = 0
-        zone_limit = tasks_per_zone_limit(spec)
-        for (_, zone, spot, shard_name, gangs_only), group in self.groups.items():
-            if (
-                not group
-                or (gangs_only and spec.kind != GANG)
-                or (shard is not None and shard_name not in ("", shard))
-                or (spot and not spec.spot)
-                or (required_zone or spec.zone) not in (None, zone)
-                or not type_allowed(spec, group[0].machine_type)
-            ):
-                continue
-            filled = False
-            for machine in group:
-                more = min(count - placed, zone_limit - zones.get(zone, 0))
-                if more <= 0:
-                    break
-                more = min(more, machine.room_for(spec))
-                if more > 0:
-                    machine.count_tasks(spec, more)
-                    placed += more
-                    zones[zone] = zones.get(zone, 0) + more
-                    filled = (
-                        filled or machine.machine_type.cpus - machine.cpus < self.smallest_task_cpus
-                    )
-            if filled:
-                group[:] = [
-                    m for m in group if m.machine_type.cpus - m.cpus >= self.smallest_task_cpus
-                ]
-            if placed >= count:
-                break
-        return placed
-
-
 class Provisioner:
     """Rents and returns machines while this controller holds the role."""
 
@@ -615,16 +503,7 @@
         """Rent for arrays, whose tasks may wait their turn: only if present and expected machines
         would not finish a job, and all work ahead of it, by the time it is due."""
         owner = self.owner
-        # CPUs available to arrays: the claims of other jobs are subtracted, by their tasks' shape.
-        available_cpus = sum(
-            machine.machine_type.cpus for machine in usable if machine.machine_type is not None
-        )
-        for other in owner.backlog.active.values():
-            if not other.array and not owner.failures.fails_everywhere(other):
-                claimed = (other.unfinished & ~other.unclaimed).bit_count()
-                available_cpus -= claimed * self._effective_cpus(other)
-        available_cpus = max(0.0, available_cpus) * 0.9
-        work_cpu_s = needed_cpus = 0.0
+        supply = self._array_supply(jobs, usable)
         needed_kinds: set[str] = set()
         for job in jobs:
             # Claimed tasks are mostly running and on average half done.
@@ -647,10 +526,12 @@
                         )
             task_cpus = self._effective_cpus(job)
             run_s = max(1.0, owner.estimates.expected_run_s(job))
-            work_cpu_s += left * run_s * task_cpus
             # No job finishes sooner than one task's run after the machine is up.
             time_left_s = max(self._time_left_s(job) - 0.3 * run_s, 0.75 * run_s, 10.0)
-            needed_cpus = max(needed_cpus, work_cpu_s / time_left_s)
+            accounts = supply.accounts_for(job.spec)
+            for account in accounts:
+                account.work_cpu_s += left * run_s * task_cpus
+                account.needed_cpus = max(account.needed_cpus, account.work_cpu_s / time_left_s)
             fitting = [t for t in owner.machine_types.values() if type_allowed(job.spec, t)]
             if fitting:
                 needed_kinds.add(min(fitting, key=lambda t: t.price).name)
@@ -663,33 +544,41 @@
             boot_s = max((t.boot_s for t in fitting if self._is_cheap(t)), default=0.0)
             if boot_s:
                 until_cheap_up_s = max(min(time_left_s, boot_s + run_s), 10.0)
-                missing_cpus = min(
-                    work_cpu_s / until_cheap_up_s - available_cpus, unclaimed * task_cpus
-                )
-                if (count := int(missing_cpus / task_cpus + 0.5)) > 0:
-                    available_cpus += task_cpus * (
-                        count
-                        - self._place_or_rent(
-                            job, count, claimant, expected, rentals_needed, now, 1
-                        )
+                missing_cpus = _missing_cpus(accounts, until_cheap_up_s)
+                count = int(min(missing_cpus / task_cpus, unclaimed) + 0.5)
+                if count > 0:
+                    count -= self._place_or_rent(
+                        job, count, claimant, expected, rentals_needed, now, 1
                     )
-            missing_cpus = min(work_cpu_s / time_left_s - available_cpus, unclaimed * task_cpus)
-            count = int(missing_cpus / task_cpus + 0.5)
+                    _add_cpus(accounts, count * task_cpus)
+            missing_cpus = _missing_cpus(accounts, time_left_s)
+            count = int(min(missing_cpus / task_cpus, unclaimed) + 0.5)
             if count <= 0 and not any(machine_allowed(job.spec, m) for m in usable):
                 count = 1
             if count > 0:
                 self._place_or_rent(job, count, claimant, expected, rentals_needed, now)
-                available_cpus += count * task_cpus
+                _add_cpus(accounts, count * task_cpus)
         self.machines_to_drain = (
-            []
-            if rentals_needed
-            else self._surplus_machines(usable, 0.9 * available_cpus - needed_cpus, needed_kinds)
+            [] if rentals_needed else self._surplus_machines(usable, supply, needed_kinds)
         )
 
+    def _array_supply(self, arrays: list[JobRun], usable: list[Machine]) -> ArraySupply:
+        """Return the CPUs for arrays: what other jobs have claimed is taken off, by their tasks'
+        shape."""
+        owner = self.owner
+        supply = ArraySupply(owner.machine_types.values(), usable)
+        for other in owner.backlog.active.values():
+            if not other.array and not owner.failures.fails_everywhere(other):
+                claimed = (other.unfinished & ~other.unclaimed).bit_count()
+                supply.take(other.spec, claimed * self._effective_cpus(other))
+        supply.open_accounts(job.spec for job in arrays)
+        return supply
+
     def _surplus_machines(
-        self, machines: list[Machine], surplus_cpus: float, needed: set[str]
+        self, machines: list[Machine], supply: ArraySupply, needed: set[str]
     ) -> list[str]:
-        """Return the most expensive machines that arrays do not need; their holders drain them.
+        """Return the most expensive machines that arrays do not need, whichever they may use; their
+        holders drain them.
 
         The cheapest types stay, because they would be rented next.
         """
@@ -702,23 +591,28 @@
                 prices[key] = hourly_price(machine.machine_type, machine.record.spot) / max(
                     machine.machine_type.cpus, 0.1
                 )
-        if not prices or surplus_cpus <= 0:
+        if not prices:
             return []
         floor = 1.5 * min(prices.values())
+        # Kinds of which no more machines can be spared.
+        needed_whole: set[MachineKind] = set()
         expensive = [
             (prices[m.record.type, m.record.spot], m.name, m)
             for m in machines
             if m.machine_type is not None and prices[m.record.type, m.record.spot] >= floor
         ]
         for _, name, machine in sorted(expensive, reverse=True, key=lambda p: p[:2]):
-            assert machine.machine_type is not None
-            if surplus_cpus <= 0:
-                break
-            kind = machine.machine_type
-            cheaper = bool(kind.spot_price) and not machine.record.spot
-            if kind.cpus <= surplus_cpus and (cheaper or kind.name not in needed):
-                surplus_cpus -= machine.machine_type.cpus
+            machine_type = machine.machine_type
+            assert machine_type is not None
+            kind = kind_of(machine)
+            cheaper = bool(machine_type.spot_price) and not machine.record.spot
+            if kind in needed_whole or (not cheaper and machine_type.name in needed):
+                continue
+            if machine_type.cpus <= supply.surplus_cpus(kind):
+                supply.remove(kind, machine_type.cpus)
                 out.append(name)
+            else:
+                needed_whole.add(kind)
         return out
 
     def _effective_cpus(self, job: JobRun) -> float:
@@ -855,6 +749,17 @@
         self.owner.commit([*conditions, (PROVISIONER_KEY, self.term)], changes, done)
 
 
+def _missing_cpus(accounts: list[SupplyAccount], time_left_s: float) -> float:
+    """Return the CPUs missing to finish the counted work in some time, in the scarcest account."""
+    return max(a.work_cpu_s / time_left_s - a.available_cpus for a in accounts)
+
+
+def _add_cpus(accounts: list[SupplyAccount], cpus: float) -> None:
+    """Add the CPUs of machines that will come."""
+    for account in accounts:
+        account.available_cpus += cpus
+
+
 def _smallest_shard(counts: dict[str, int]) -> str:
     """Return the shard with the fewest machines."""
     return min(counts, key=lambda n: (counts[n], n))
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -62,14 +62,14 @@
         shard = owner.held_shards.get(node)
         if shard is None or node not in owner.shards.active_shards(owner.now):
             return None
+        scheduler = owner.scheduling_pass
+        pass_state = scheduler.pass_state
         machines = [
             m
             for m in owner.ledger.machines_with_room(node)
-            if not job.array or owner.now >= m.drain_until
+            if not job.array or pass_state.open_to_arrays(m)
         ]
         promised = owner.shards.promised_room(node)
-        scheduler = owner.scheduling_pass
-        pass_state = scheduler.pass_state
         pass_state.no_room = pass_state.no_room_by_preemption = NoRoomCache()
         pass_state.array_candidates = None
         pass_state.scan_running_jobs(node)
