Room is kept for a time by the clock, instead of under a lease for each machine and limit

Cause: a waiting job needs machines and limit at one time, and the leases had their own times each.

Change: all that keeps room does so for 60 s of every 75 s of the wall clock, and not in between (`kept_room`). It needs no state, so it is the same for whoever keeps room, on whichever machines, and for a successor.

--- a/sagecove/coordination/backlog.py
+++ b/sagecove/coordination/backlog.py
@@ -11,7 +11,8 @@
 from collections.abc import Iterator
 
 from sagecove.coordination.interfaces import BacklogContext
-from sagecove.coordination.model import JobRun, precedence
+from sagecove.coordination.model import JobRun
+from sagecove.coordination.precedence import precedence
 
 GroupKey = tuple[object, ...]
 
--- a/sagecove/coordination/claims/claimer.py
+++ b/sagecove/coordination/claims/claimer.py
@@ -13,12 +13,13 @@
 from sagecove.coordination.interfaces import OwnerContext, ShardQueries, SyncRequests
 from sagecove.coordination.ledger import Ledger
 from sagecove.coordination.limits.team_limits import TeamLimits
-from sagecove.coordination.model import JobRun, Machine, Shard, fixed_precedence, to_millionths
+from sagecove.coordination.model import JobRun, Machine, Shard, to_millionths
 from sagecove.coordination.placement import (
     RoomByMachine,
     count_fitting_tasks,
     plan_placements,
 )
+from sagecove.coordination.precedence import fixed_precedence
 from sagecove.protocol import state as wire
 from sagecove.storage import taskset
 from sagecove.storage.records import HOLDER_PREFIX, JOB_PREFIX, max_claimable_tasks
--- a/sagecove/coordination/claims/gang_reservations.py
+++ b/sagecove/coordination/claims/gang_reservations.py
@@ -19,7 +19,7 @@
 
 
 class GangReservations:
-    """Promises room to waiting gangs, under the leases of the machines."""
+    """Promises room to waiting gangs, while room may be kept."""
 
     def __init__(
         self, context: OwnerContext, state: PassState, waits: GangWaits, shards: ShardQueries
@@ -40,7 +40,11 @@
         """Reserve free room for `count` tasks of a gang (in one zone if required) that does not fit
         yet and has waited longer than its machines take to boot. Without that, smaller gangs passed
         a large one by for good where tasks share machines."""
-        if not self.waits.waits_long(self.context.now, job) or not self.waits.limit_has_room(job):
+        if (
+            not self.state.keeps_room
+            or not self.waits.waits_long(self.context.now, job)
+            or not self.waits.limit_has_room(job)
+        ):
             return
         home = self.shards.home_shard(job)
         suitable = self._suitable_machines(job, shard, home)
@@ -76,7 +80,7 @@
         """Reserve what is free for a gang in the shard that serves it."""
         for machine in machines:
             more = min(count, tasks_fitting(job.spec, unpromised_room(machine, promised)))
-            if more > 0 and machine.name in suitable and self._may_keep(machine):
+            if more > 0 and machine.name in suitable:
                 add_promised(promised, machine.name, job.spec, more)
                 count -= more
             if count <= 0:
@@ -93,14 +97,10 @@
             if part <= 0:
                 break
             fitting = tasks_fitting_after_others(job, machine)
-            if fitting <= 0 or not self._may_keep(machine):
+            if fitting <= 0:
                 continue
             part -= fitting
             room = unpromised_room(machine, promised)
             held = promised.setdefault(machine.name, [0.0, 0.0, 0.0])
             for resource in range(3):
                 held[resource] += max(0.0, room[resource])
-
-    def _may_keep(self, machine: Machine) -> bool:
-        """Return whether room of a machine may be kept now from other jobs."""
-        return self.state.machine_leases.may_keep(self.context.now, machine.name)
--- a/sagecove/coordination/claims/pass_state.py
+++ b/sagecove/coordination/claims/pass_state.py
@@ -4,7 +4,7 @@
 
 from bisect import bisect_right
 
-from sagecove.coordination.claims.room_leases import RoomLeases
+from sagecove.coordination.claims.kept_room import may_keep_room
 from sagecove.coordination.interfaces import OwnerContext
 from sagecove.coordination.ledger import Ledger
 from sagecove.coordination.model import JobRun, Machine
@@ -32,9 +32,6 @@
         self.packing = False
         # Machines with room for the smallest array task of the pass; None: not computed.
         self.array_candidates: list[Machine] | None = None
-        # Bounds of keeping room from jobs that wait, by machine and by team (of its limit).
-        self.machine_leases = RoomLeases()
-        self.limit_leases = RoomLeases()
         # By machine: the gang that its room is withheld from arrays for.
         self.withheld: dict[str, JobRun] = {}
         # By team: CPUs and GPUs needed by jobs that wait to be claimed as a whole.
@@ -126,11 +123,15 @@
         self.reclaimable_by_rights[key] = found, ending_cpus
         return found, ending_cpus
 
+    @property
+    def keeps_room(self) -> bool:
+        """Whether room may be kept at present from jobs that wait beside it."""
+        return may_keep_room(self.context.wall())
+
     def open_to_arrays(self, machine: Machine) -> bool:
         """Return whether arrays may use a machine: not while it is drained, so that it can be
-        returned, but what runs there may be there to stay, so this is under a lease too."""
-        now = self.context.now
-        return now >= machine.drain_until or not self.machine_leases.may_keep(now, machine.name)
+        returned. What runs there may be there to stay, so that is bounded too."""
+        return self.context.now >= machine.drain_until or not self.keeps_room
 
     def candidate_machines(self, job: JobRun, machines: list[Machine]) -> list[Machine]:
         """Return the given machines and those with reclaimable room for a job, sorted by name."""
--- a/sagecove/coordination/claims/preemptor.py
+++ b/sagecove/coordination/claims/preemptor.py
@@ -6,19 +6,12 @@
 
 from sagecove.coordination.claims.candidates import Candidate, find_candidates
 from sagecove.coordination.claims.gang_waits import GangWaits
+from sagecove.coordination.claims.kept_room import KEEP_ROOM_S
 from sagecove.coordination.claims.pass_state import PassState
-from sagecove.coordination.claims.room_leases import ROOM_LEASE_S
 from sagecove.coordination.interfaces import MachineCommands, OwnerContext
 from sagecove.coordination.ledger import Ledger
 from sagecove.coordination.limits.team_limits import TeamLimits
-from sagecove.coordination.model import (
-    ROOM_EPSILON,
-    JobRun,
-    Machine,
-    Placement,
-    Shard,
-    fixed_precedence,
-)
+from sagecove.coordination.model import ROOM_EPSILON, JobRun, Machine, Placement, Shard
 from sagecove.coordination.placement import (
     RoomByMachine,
     add_promised,
@@ -26,6 +19,7 @@
     tasks_fitting,
     unpromised_room,
 )
+from sagecove.coordination.precedence import fixed_precedence
 from sagecove.coordination.preemption_policy import PreemptionPolicy, task_resources
 from sagecove.coordination.zone_rules import tasks_allowed_by_zone
 
@@ -69,7 +63,7 @@
         waited_s = now - job.first_seen_at
         if (
             not self.state.preemption_due
-            or not 2 * self.state.poll_s / 3 <= waited_s < ROOM_LEASE_S
+            or not 2 * self.state.poll_s / 3 <= waited_s < KEEP_ROOM_S
             or now < job.trim_after
             or not self.waits.shards.fleet_can_hold(job)
         ):
@@ -146,17 +140,8 @@
             return wanted
         table = self.state.held_back_by_team if job.array else self.state.held_back_long_by_team
         held = table.get(job.spec.team)
-        if held is None:
-            return wanted
-        capped = self._cap_beside(held, job, wanted, claimed)
-        if capped < wanted and not self.state.limit_leases.may_keep(
-            self.context.now, job.spec.team
-        ):
+        if held is None or not self.state.keeps_room:
             return wanted
-        return capped
-
-    def _cap_beside(self, held: list[float], job: JobRun, wanted: int, claimed: bool) -> int:
-        """Cap the tasks of a job at what its team's limit has left beside held back amounts."""
         left = self.limits.unclaimed(job.spec.team)
         for resource, each in enumerate((job.spec.cpus, job.spec.gpus)):
             if each <= 0 or held[resource] <= 0:
--- a/sagecove/coordination/claims/scheduling_pass.py
+++ b/sagecove/coordination/claims/scheduling_pass.py
@@ -30,15 +30,9 @@
 )
 from sagecove.coordination.ledger import Ledger
 from sagecove.coordination.limits.team_limits import TeamLimits
-from sagecove.coordination.model import (
-    ROOM_EPSILON,
-    JobRun,
-    Machine,
-    Shard,
-    fixed_precedence,
-    precedence,
-)
+from sagecove.coordination.model import ROOM_EPSILON, JobRun, Machine, Shard
 from sagecove.coordination.placement import NoRoomCache, RoomByMachine, promise_reserved
+from sagecove.coordination.precedence import fixed_precedence, precedence
 from sagecove.coordination.preemption_policy import PreemptionPolicy
 
 # Time between two scheduling passes. Up to `JOBS_PER_MIN_INTERVAL_COUNT` open jobs the minimum; it
@@ -78,9 +72,7 @@
         self.pass_state = PassState(context, ledger, policy)
         waits = GangWaits(context, shards, limits)
         self.preemptor = Preemptor(context, self.pass_state, ledger, limits, policy, workers, waits)
-        self.withheld_machines = WithheldMachines(
-            context, shards, waits, self.pass_state.machine_leases
-        )
+        self.withheld_machines = WithheldMachines(context, shards, waits, self.pass_state)
         self.releaser = Releaser(context, self.pass_state, sync)
         self.claimer = Claimer(
             *(
@@ -138,7 +130,11 @@
             promised: RoomByMachine = {}
             # Full machines are left out; preemption finds them by their tasks.
             machines_with_room = self.ledger.machines_with_room(shard.name)
-            array_machines = [m for m in machines_with_room if self.pass_state.open_to_arrays(m)]
+            array_machines = [
+                m
+                for m in machines_with_room
+                if now >= m.drain_until or self.pass_state.open_to_arrays(m)
+            ]
             self.pass_state.no_room = NoRoomCache()
             self.pass_state.no_room_by_preemption = NoRoomCache()
             if self.pass_state.preemption_due:
--- a/sagecove/coordination/claims/withheld_machines.py
+++ b/sagecove/coordination/claims/withheld_machines.py
@@ -8,7 +8,7 @@
 
 from sagecove.coordination.claims.gang_waits import GangWaits
 from sagecove.coordination.claims.lasting_room import tasks_fitting_after_others
-from sagecove.coordination.claims.room_leases import RoomLeases
+from sagecove.coordination.claims.pass_state import PassState
 from sagecove.coordination.interfaces import OwnerContext, ShardQueries
 from sagecove.coordination.model import JobRun, Machine, Shard
 from sagecove.coordination.placement import fills_most_of_machine
@@ -22,12 +22,12 @@
         context: OwnerContext,
         shards: ShardQueries,
         waits: GangWaits,
-        leases: RoomLeases,
+        state: PassState,
     ) -> None:
         self.context = context
         self.shards = shards
         self.waits = waits
-        self.leases = leases
+        self.state = state
 
     def choose(
         self, now: float, shard: Shard, machines: list[Machine], jobs: list[JobRun]
@@ -38,17 +38,14 @@
         waiting gang that its team's limit allows, as many machines are withheld as it needs, those
         with most room first, and only such that will have room for a task of it."""
         out: dict[str, JobRun] = {}
-        # Room that was freed for an array goes to that array.
-        reserved = {name for job in jobs if job.array for name in job.reserved}
+        if not self.state.keeps_room:
+            return out
         by_room: list[Machine] | None = None
         for job in jobs:
             if not self._gathers_machines(now, shard, job):
                 continue
             if by_room is None:
-                by_room = sorted(
-                    (m for m in machines if m.name not in reserved),
-                    key=lambda m: (-m.free_room()[0], m.name),
-                )
+                by_room = _unreserved_by_room(machines, jobs)
             missing = self._tasks_to_gather(shard, job)
             for machine in by_room:
                 if missing <= 0:
@@ -56,7 +53,7 @@
                 if machine.name in out:
                     continue
                 fitting = _tasks_to_withhold_for(job, machine)
-                if fitting > 0 and self.leases.may_keep(now, machine.name):
+                if fitting > 0:
                     out[machine.name] = job
                     missing -= fitting
         return out
@@ -83,6 +80,15 @@
         return -(-count // other_shards)
 
 
+def _unreserved_by_room(machines: list[Machine], jobs: list[JobRun]) -> list[Machine]:
+    """Return the machines without room that was freed for an array, those with most room first:
+    such room goes to that array."""
+    reserved = {name for job in jobs if job.array for name in job.reserved}
+    return sorted(
+        (m for m in machines if m.name not in reserved), key=lambda m: (-m.free_room()[0], m.name)
+    )
+
+
 def _tasks_to_withhold_for(job: JobRun, machine: Machine) -> int:
     """Return for how many tasks of a gang a machine is to be withheld: 0 if a task takes less than
     most of it, or will find no room there."""
--- a/sagecove/coordination/explain.py
+++ b/sagecove/coordination/explain.py
@@ -13,14 +13,9 @@
 from sagecove.coordination.interfaces import FailureJudge, OwnerContext
 from sagecove.coordination.limits.records import ResourceAmount
 from sagecove.coordination.limits.team_limits import TeamLimits
-from sagecove.coordination.model import (
-    MILLIONTHS_PER_UNIT,
-    JobRun,
-    Machine,
-    precedence,
-    to_millionths,
-)
+from sagecove.coordination.model import MILLIONTHS_PER_UNIT, JobRun, Machine, to_millionths
 from sagecove.coordination.placement import type_allowed
+from sagecove.coordination.precedence import precedence
 from sagecove.coordination.preemption_policy import PreemptionPolicy
 from sagecove.protocol import workers as worker_protocol
 from sagecove.protocol.views import ClusterView, Explanation, MachineView, ShardView, TeamView
--- a/sagecove/coordination/handover/room_requests.py
+++ b/sagecove/coordination/handover/room_requests.py
@@ -19,8 +19,9 @@
 from sagecove.coordination.interfaces import TICK_S, OwnerContext, ShardQueries, SyncRequests
 from sagecove.coordination.ledger import Ledger
 from sagecove.coordination.limits.team_limits import TeamLimits
-from sagecove.coordination.model import JobRun, Machine, Shard, precedence
+from sagecove.coordination.model import JobRun, Machine, Shard
 from sagecove.coordination.placement import machine_suits, tasks_fitting
+from sagecove.coordination.precedence import precedence
 from sagecove.protocol import state as wire
 from sagecove.protocol.peers import RoomRequest
 from sagecove.storage.records import HOLDER_PREFIX, MACHINE_PREFIX
--- a/sagecove/coordination/limits/share_requests.py
+++ b/sagecove/coordination/limits/share_requests.py
@@ -10,7 +10,8 @@
 from itertools import chain
 
 from sagecove.coordination.limits.records import ResourceAmount, fits_within
-from sagecove.coordination.model import JobRun, fixed_precedence
+from sagecove.coordination.model import JobRun
+from sagecove.coordination.precedence import fixed_precedence
 from sagecove.protocol.peers import ShareRequest
 
 # Polls after which a peer's requests and reports of completed claims expire.
--- a/sagecove/coordination/preemption_policy.py
+++ b/sagecove/coordination/preemption_policy.py
@@ -10,7 +10,8 @@
 from typing import Protocol
 
 from sagecove.coordination.interfaces import BaseContext
-from sagecove.coordination.model import JobRun, Placement, fixed_precedence
+from sagecove.coordination.model import JobRun, Placement
+from sagecove.coordination.precedence import fixed_precedence
 
 # A task that has run for this many times its expected time is expected to run on for half the time
 # it has run, as nothing better is known.
--- a/sagecove/coordination/provisioner.py
+++ b/sagecove/coordination/provisioner.py
@@ -14,7 +14,7 @@
 from sagecove.coordination.claims.gang_waits import gang_long_wait_s
 from sagecove.coordination.claims.lasting_room import tasks_fitting_after_others
 from sagecove.coordination.expected_fleet import ExpectedFleet, ExpectedMachine
-from sagecove.coordination.model import JobRun, Machine, precedence
+from sagecove.coordination.model import JobRun, Machine
 from sagecove.coordination.placement import (
     hourly_price,
     machine_allowed,
@@ -22,6 +22,7 @@
     tasks_fitting,
     type_allowed,
 )
+from sagecove.coordination.precedence import precedence
 from sagecove.coordination.zone_rules import tasks_by_zone, tasks_per_zone_limit
 from sagecove.protocol import cloud as cloud_protocol
 from sagecove.protocol import state as wire
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -11,7 +11,8 @@
 from hypothesis import strategies as st
 from msgspec import convert
 
-from sagecove.coordination.model import JobRun, Placement, fixed_precedence
+from sagecove.coordination.model import JobRun, Placement
+from sagecove.coordination.precedence import fixed_precedence
 from sagecove.coordination.preemption_policy import may_preempt
 from sagecove.lab.deployment import job_submission
 from sagecove.lab.world import World
