Machines are handed over for gangs that are spread over zones, too

Cause: `RoomRequests._build_request` asked for none for such gangs.

What is given is unchanged: provably empty machines only.

--- a/sagecove/coordination/handover/room_requests.py
+++ b/sagecove/coordination/handover/room_requests.py
@@ -22,6 +22,7 @@
 from sagecove.coordination.model import JobRun, Machine, Shard
 from sagecove.coordination.placement import machine_suits, tasks_fitting
 from sagecove.coordination.precedence import precedence
+from sagecove.coordination.zone_rules import tasks_allowed_by_zone, tasks_per_zone_limit
 from sagecove.protocol import state as wire
 from sagecove.protocol.peers import RoomRequest
 from sagecove.storage.records import HOLDER_PREFIX, MACHINE_PREFIX
@@ -93,12 +94,14 @@
 
     def _build_request(self, job: JobRun, home_shard: str) -> RoomRequest | None:
         spec = job.spec
-        if spec.spread or self.limits.claimable_anywhere(spec, spec.tasks) < spec.tasks:
+        if self.limits.claimable_anywhere(spec, spec.tasks) < spec.tasks:
             return None
         fitting_by_zone: Counter[str] = Counter()
         for machine in self.ledger.machines_with_room(home_shard):
             if machine_suits(job, machine):
                 fitting_by_zone[machine.record.zone] += tasks_fitting(spec, machine.free_room())
+        if spec.spread:
+            return self._build_spread_request(job, home_shard, fitting_by_zone)
         if not spec.one_zone:
             missing_tasks = spec.tasks - fitting_by_zone.total()
             return RoomRequest(job.id, home_shard, "", missing_tasks) if missing_tasks > 0 else None
@@ -109,6 +112,26 @@
             return None
         return RoomRequest(job.id, home_shard, zone, spec.tasks - found)
 
+    def _build_spread_request(
+        self, job: JobRun, home_shard: str, fitting_by_zone: dict[str, int]
+    ) -> RoomRequest | None:
+        """Request room for a gang that is spread over zones, in one zone at a time: of those in
+        which other shards have machines for it, the one where the home shard has least room."""
+        usable = tasks_allowed_by_zone(job, fitting_by_zone)
+        missing_tasks = job.spec.tasks - sum(usable.values())
+        zone_limit = tasks_per_zone_limit(job.spec)
+        zones = {
+            machine.record.zone
+            for machine in self.context.machines.values()
+            if machine.record.shard != home_shard and machine_suits(job, machine)
+        }
+        lacking = [zone for zone in sorted(zones) if usable.get(zone, 0) < zone_limit]
+        if missing_tasks <= 0 or not lacking:
+            return None
+        zone = min(lacking, key=lambda name: usable.get(name, 0))
+        task_count = min(missing_tasks, zone_limit - usable.get(zone, 0))
+        return RoomRequest(job.id, home_shard, zone, task_count)
+
     def give_machines(self, now: float, request: RoomRequest) -> None:
         """Give this controller's part of the requested room, as far as it has idle machines."""
         job = self.context.jobs.get(request.job)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -49,6 +49,16 @@
     world.run_until(lambda: started_task_count(world, 1) == 18, 30)
 
 
+@pytest.mark.parametrize("nodes", [2, 3])
+def test_spread_gang_gets_machines_of_each_zone(nodes: int) -> None:
+    # Guards against a gang with `scatter` that no shard asks machines for, beside empty ones.
+    world = create_world(nodes, 12)
+    world.poll_jobs()
+    world.faults_over_at = world.now
+    world.submit("n1", job_submission(1, hands=8, vcpus=4.0, scatter=True, **GANG))
+    world.run_until(lambda: started_task_count(world, 1) == 8, 40)
+
+
 @pytest.mark.parametrize("verdict", ["lost", "late", "unanswered"])
 @pytest.mark.parametrize("ended_node", ["n0", "n1", "n2"])
 def test_controller_ends_during_machine_moves(verdict: str, ended_node: str) -> None:
