Search for waiting jobs: a kind with ending controllers and lost machines

bench.waiting FAULTS; the faults are shared with tests/test_zone_arrays.py. The preemptor has its name in Placer again.

--- a/sagecove/coordination/claims/placer.py
+++ b/sagecove/coordination/claims/placer.py
@@ -52,7 +52,7 @@
         self.limits = limits
         self.workers = workers
         self.state = state
-        self.pending_count = preemptor
+        self.preemptor = preemptor
         self.releaser = releaser
         self.claimer = claimer
 
@@ -83,7 +83,7 @@
             return
         spec = job.spec
         wanted = bits.bit_count()
-        allowed = self.pending_count.cap(job, self.limits.startable(name, spec, wanted), True)
+        allowed = self.preemptor.cap(job, self.limits.startable(name, spec, wanted), True)
         if allowed < wanted and not job.judged_faulty:
             self.limits.request_share(now, name, job, 0)
         indexes: list[int] = []
@@ -139,7 +139,7 @@
             self._drop_reservations(job, name)
             return
         if not job.array:
-            self.pending_count.add_held_back(job, unplaced_count)
+            self.preemptor.add_held_back(job, unplaced_count)
         if now > job.reserved_until:
             job.reserved.clear()
         pending_count = self._count_pending_reservations(
@@ -151,7 +151,7 @@
             and self.state.preemption_due
             and not job.judged_faulty
         ):
-            pending_count += self.pending_count.make_room(
+            pending_count += self.preemptor.make_room(
                 now, job, len(indexes) - len(planned) - pending_count, machines, promised
             )
         if not job.judged_faulty:
@@ -206,8 +206,7 @@
         max_loss_cpu_s = fetch_s * job.spec.cpus
         count = len(planned)
         return (
-            self.pending_count.make_room(now, job, count, machines, promised, max_loss_cpu_s)
-            >= count
+            self.preemptor.make_room(now, job, count, machines, promised, max_loss_cpu_s) >= count
         )
 
     def _count_pending_reservations(
@@ -278,7 +277,7 @@
     ) -> list[JobRun]:
         """Places similar claimed one-task jobs, and returns those that found no machine."""
         first = jobs[0]
-        allowed = self.pending_count.cap(
+        allowed = self.preemptor.cap(
             first, self.limits.startable(shard.name, first.spec, len(jobs)), True
         )
         if not allowed or self.state.no_room.covers(first) or self.state.array_candidates is None:
--- a/tests/test_zone_arrays.py
+++ b/tests/test_zone_arrays.py
@@ -16,6 +16,7 @@
 from sagecove.lab.world import World
 from sagecove.protocol.users import Job
 from sagecove.storage.records import JobRecord
+from tests.random_faults import RandomFaults
 
 # Teams whose limit is split among the controllers.
 TEAMS: list[dict[str, Any]] = [
@@ -76,7 +77,7 @@
     def __init__(self, seed: int) -> None:
         self.random = Random(seed)
         self.world = world_of_two_zones(self.random.choice([2, 3, 5]), 8, seed)
-        self.world.dead_nodes_refuse = True
+        self.faults = RandomFaults(self.world, self.random)
         self.world.faults_over_at = None
 
     def play(self) -> None:
@@ -92,7 +93,7 @@
             }
             self.submit(job_submission(number, **array))
             world.run(self.random.uniform(0.0, 4.0))
-            self.random.choice([self.end_controller, self.lose_machine, self.cut_machine])()
+            self.faults.cause_one()
         world.run(3 * LEASE_S)
         world.faults_over_at = world.now
         run_all(world, 400)
@@ -104,27 +105,6 @@
         ):
             self.world.run(1.0)
 
-    def end_controller(self) -> None:
-        """End a controller, and start it again soon or after its lease has run out."""
-        world = self.world
-        if len(world.owners) < 2:
-            return
-        name = self.random.choice(list(world.owners))
-        world.kill_node(name)
-        delay_s = self.random.choice([0.5, 3.0, 2 * LEASE_S])
-        world.call_later(delay_s, lambda: world.start_node(int(name[1:])))
-
-    def lose_machine(self) -> None:
-        """Let a machine lose its power."""
-        worker = self.random.choice(list(self.world.workers.values()))
-        worker.dead, worker.tasks = True, {}
-
-    def cut_machine(self) -> None:
-        """Cut a machine off for some seconds."""
-        worker = self.random.choice(list(self.world.workers.values()))
-        worker.isolated = worker.direct_commands_blocked = True
-        self.world.call_later(self.random.choice([3.0, 1.5 * LEASE_S]), worker.reconnect)
-
 
 @pytest.mark.parametrize("seed", range(12))
 def test_zone_rules_hold_while_controllers_and_machines_are_lost(seed: int) -> None:
--- a/tests/waiting_histories.py
+++ b/tests/waiting_histories.py
@@ -1,4 +1,4 @@
-"""Random histories of more work than room, without faults, which must all be served.
+"""Random histories of more work than room, most without faults, which must all be served.
 
 `tests/test_waiting_search.py` plays a few seeds of each kind and `bench/waiting.py` many. A history
 breaks a rule if a job waits beside room (`RuleChecker`), or if work stalls: all services are
@@ -12,6 +12,7 @@
 from sagecove.lab.answer_history import RuleViolation
 from sagecove.lab.deployment import job_submission
 from sagecove.lab.world import World
+from tests.random_faults import RandomFaults
 
 # Work that is left has stalled after so long without a completed task: the bound on waiting (90 s),
 # and one minute for what has to end or to boot before it.
@@ -19,6 +20,8 @@
 # A history takes no longer than this, stalled or not.
 HISTORY_MAX_S = 1500.0
 JOB_COUNT = 30
+# Share of the submissions after which a fault is caused.
+FAULT_SHARE = 0.3
 TEAMS: list[dict[str, Any]] = [
     {"name": "red", "cpus": 16.0, "cpus_max": 40.0, "gpus": 0, "gpus_max": 0},
     {"name": "blue", "cpus": 8.0, "cpus_max": 12.0, "gpus": 0, "gpus_max": 0},
@@ -33,6 +36,7 @@
     ZONES = "arrays, some bound to one zone or spread"
     SPOT = "arrays and gangs, spot machines beside ordinary ones"
     MIXED = "all shapes, with services"
+    FAULTS = "all shapes but services, while controllers end and machines are lost"
 
 
 class WaitingHistory:
@@ -41,6 +45,7 @@
     def __init__(self, kind: HistoryKind, seed: int) -> None:
         self.kind = kind
         self.random = Random(f"{kind.name} {seed}")
+        self.faults: RandomFaults | None = None
         self.world = World(self.random.choice([1, 2, 3]), seed, checks_ledgers=False, teams=TEAMS)
         machine_count = self.random.randint(5, 9)
         self.world.cloud.capacity = {
@@ -61,21 +66,30 @@
         for worker in world.workers.values():
             worker.task_run_s = None
         world.poll_jobs()
-        world.faults_over_at = world.now
+        if self.kind is HistoryKind.FAULTS:
+            self.faults = RandomFaults(world, self.random)
+        else:
+            world.faults_over_at = world.now
         span_s = self.random.choice([10.0, 30.0, 60.0])
         for number in range(1, JOB_COUNT + 1):
-            fields = self._fields()
-            # Jobs that can never run are refused and not checked.
-            world.submit(
-                f"n{self.random.randrange(world.node_count)}", job_submission(number, **fields)
-            )
+            self._submit(job_submission(number, **self._fields()))
             world.run(self.random.uniform(0.0, 2.0 * span_s / JOB_COUNT))
+            if self.faults is not None and self.random.random() < FAULT_SHARE:
+                self.faults.cause_one()
         world.run(40.0)
+        if self.faults is not None:
+            world.faults_over_at = world.now
         for job_id, spec in world.specs.items():
             if spec["shape"] == "service" and job_id in world.reported_states:
                 world.user_request("n0", "POST", f"/api/jobs/{job_id}/cancel")
         self._finish()
 
+    def _submit(self, job: dict[str, Any]) -> None:
+        """Submit a job until it is accepted, or refused as one that can never run."""
+        status = 0
+        while status not in (200, 201, 422):
+            status, _ = self.world.submit(self.random.choice(sorted(self.world.owners)), job)
+
     def _finish(self) -> None:
         """Advance until all work is done."""
         world = self.world
@@ -109,6 +123,7 @@
             HistoryKind.ZONES: ["sweep"],
             HistoryKind.SPOT: ["sweep", "sweep", "ensemble"],
             HistoryKind.MIXED: ["sweep", "sweep", "ensemble", "service"],
+            HistoryKind.FAULTS: ["sweep", "sweep", "ensemble"],
         }[self.kind]
         shape = random.choice(shapes)
         fields: dict[str, Any] = {
@@ -127,7 +142,7 @@
                 "vcpus": random.choice([0.5, 1.0, 2.0]),
                 "reckonS": 0.0,
             }
-        if self.kind in (HistoryKind.ZONES, HistoryKind.MIXED):
+        if self.kind in (HistoryKind.ZONES, HistoryKind.MIXED, HistoryKind.FAULTS):
             rule = random.choice(["", "", "samePlace", "scatter"])
             if rule:
                 fields[rule] = True
