--- a/bench/waiting.py
+++ b/bench/waiting.py
@@ -1,15 +1,15 @@
-"""Searches long for jobs that wait beside room, or work that stalls, without any fault.
+"""Searches long for jobs that wait beside room, or work that stalls, most without any fault.
 
 Usage: python -m bench.waiting FIRST LAST [KIND]
 
-Plays the histories of tests/waiting_histories.py with the seeds FIRST to LAST, of each kind or of
-one (its name in `HistoryKind`). Prints a line for each history that breaks a rule, and one for each
-kind.
+Plays the histories of sagecove/lab/waiting_histories.py with the seeds FIRST to LAST, of each kind
+or of one (its name in `HistoryKind`). Prints a line for each history that breaks a rule, and one
+for each kind.
 """
 
 import sys
 
-from tests.waiting_histories import HistoryKind, WaitingHistory
+from sagecove.lab.waiting_histories import HistoryKind, WaitingHistory
 
 
 def play_kind(kind: HistoryKind, first: int, last: int) -> int:
--- a/tests/waiting_histories.py
+++ b/sagecove/lab/waiting_histories.py
@@ -11,8 +11,8 @@
 
 from sagecove.lab.answer_history import RuleViolation
 from sagecove.lab.deployment import job_submission
+from sagecove.lab.random_faults import RandomFaults
 from sagecove.lab.world import World
-from tests.random_faults import RandomFaults
 
 # Work that is left has stalled after so long without a completed task: the bound on waiting (90 s),
 # and one minute for what has to end or to boot before it.
--- a/tests/test_waiting_search.py
+++ b/tests/test_waiting_search.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.waiting_histories import HistoryKind, WaitingHistory
+from sagecove.lab.waiting_histories import HistoryKind, WaitingHistory
 
 # Most of these seeds broke a rule before the incidents review-4, review-6, review-7 and review-8.
 SEEDS = {
--- a/tests/test_zone_arrays.py
+++ b/tests/test_zone_arrays.py
@@ -12,11 +12,11 @@
 from sagecove.coordination.model import JobRun
 from sagecove.lab.answer_history import RuleViolation
 from sagecove.lab.deployment import LEASE_S, job_submission
+from sagecove.lab.random_faults import RandomFaults
 from sagecove.lab.rule_checker import WAITING_LIMIT_S
 from sagecove.lab.world import World
 from sagecove.protocol.users import Job
 from sagecove.storage.records import JobRecord
-from tests.random_faults import RandomFaults
 
 # Teams whose limit is split among the controllers.
 TEAMS: list[dict[str, Any]] = [
