Arrays with a rule on zones are left for a moment to a shard with room for all of their tasks

Cause: whichever shard saw the array first began with what fitted there, and only that shard can go on. Before, only a shard with room for all claimed it.

Change: for two polls, and when it is submitted, such an array is claimed only with room for all of its tasks; then with what fits.

--- a/sagecove/coordination/claims/claimer.py
+++ b/sagecove/coordination/claims/claimer.py
@@ -27,6 +27,7 @@
 
 CLAIM_BATCH_COUNT = 4  # open claims at one time (the paper's batchSize: claims of one poll)
 RETRY_TURN_COUNT = 12  # controllers that lost the race for a record retry in turn: turns per poll
+ALL_TASKS_POLL_COUNT = 2.0  # polls for which arrays with one claimant wait for room for all tasks
 REQUEST_TASK_COUNT = 200  # tasks of an array in one request for more of its team's limit
 
 
@@ -171,7 +172,7 @@
             if allowed > count:
                 allowed = min(allowed, count + self._reclaim_part(now, job, shard.name))
                 count += self.preemptor.count_fitting_by_preemption(job, allowed - count, promised)
-        if not count or (job.claimed_whole and count < wanted):
+        if not count or (count < wanted and (job.claimed_whole or self._waits_for_all(job))):
             # Before reserving: reserved room looks taken, and a gang whose machines came up only
             # after it had begun to reserve never requested its share of the limit.
             self._request_share(now, shard.name, job, machines, promised)
@@ -183,6 +184,13 @@
         if (count := self.limit_to_record_size(job, count)) > 0:
             self.claim(job, shard, taskset.lowest(bits, count))
 
+    def _waits_for_all(self, job: JobRun) -> bool:
+        """Return whether an array is left for a moment to a shard with room for all its tasks, as
+        only the shard that begins with it can go on."""
+        waited_s = self.context.now - job.first_seen_at
+        most_s = ALL_TASKS_POLL_COUNT * self.state.poll_s
+        return job.one_claimant and not job.claims and waited_s < most_s
+
     def limit_to_record_size(self, job: JobRun, count: int) -> int:
         """Cap `count` at the tasks whose claims fit the job's record, whatever finishes first.
         Records of huge arrays outgrew a value of 8 KiB, and no result could be written any more."""
--- a/sagecove/coordination/users.py
+++ b/sagecove/coordination/users.py
@@ -84,7 +84,7 @@
                     job, claimable_count - count, promised
                 )
                 pass_state.preempt_after = 0.0
-        if not count or (job.claimed_whole and count < job.spec.tasks):
+        if not count or (count < job.spec.tasks and (job.claimed_whole or job.one_claimant)):
             return None
         count = scheduler.claimer.limit_to_record_size(job, count)
         bits = taskset.lowest(job.all_tasks, count)
