--- a/sagecove/coordination/claims/claimer.py
+++ b/sagecove/coordination/claims/claimer.py
@@ -246,8 +246,14 @@
         )
         if found < most:
             found += self.preemptor.count_fitting_by_preemption(job, most - found, promised)
-        if job.service and job.claimed_whole and found:
-            found = wanted  # it starts with the room there is, but is claimed at once
+        if (
+            job.service
+            and job.claimed_whole
+            and found
+            and not self.preemptor.waits.machines_may_be_booting(now, job)
+        ):
+            # No shard has had room for all of it: it starts with the room there is.
+            found = wanted
         if found > allowed and (found >= wanted or not job.claimed_whole):
             self.limits.request_share(now, shard, job, found)
 
